--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+SEED ?= 1
+
+.PHONY: setup test demo check promises chaos bench-tail bench-slopes bench-call
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
+
+check: $(STAMP)
+	$(VENV)/bin/ruff format --check src tests bench
+	$(VENV)/bin/ruff check src tests bench
+	$(VENV)/bin/mypy
+
+test: $(STAMP)
+	$(PY) -m pytest
+
+demo: $(STAMP)
+	$(PY) -m tests.demo
+
+promises: $(STAMP)
+	$(PY) -m pytest -m promise
+
+chaos: $(STAMP)
+	$(PY) -m tests.chaos --seed $(SEED)
+
+bench-tail: $(STAMP)
+	$(PY) -m bench.tail
+
+bench-slopes: $(STAMP)
+	$(PY) -m bench.slopes
+
+bench-call: $(STAMP)
+	$(PY) -m bench.call
--- /dev/null
+++ b/src/snipesaddle/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier over many shards."""
--- /dev/null
+++ b/src/snipesaddle/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""What is not part of the public interface."""
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the ports, carried out by libraries."""
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/http_front.py
@@ -0,0 +1,253 @@
+"""The HTTP interface towards callers and operators."""
+
+import hashlib
+import uuid
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+import anyio
+import msgspec
+import pydantic
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from snipesaddle._internal.adapters import http_replies as replies
+from snipesaddle._internal.metrics.histograms import Histograms
+from snipesaddle._internal.models.http import ExecuteBody, SearchBody
+from snipesaddle._internal.status import metrics_of, status_of
+from snipesaddle._internal.tables.commands import (
+    AnswerDirectory,
+    AnswerExecution,
+    AnswerSearch,
+    RefuseRequest,
+)
+from snipesaddle._internal.tables.events import (
+    CallerGone,
+    DirectoryAsked,
+    DrainAsked,
+    ExecutionArrived,
+    RequestsOpen,
+    SearchArrived,
+)
+from snipesaddle._internal.tables.executions import ExecuteRequest
+from snipesaddle._internal.tables.nodes import NodeState
+from snipesaddle._internal.tables.queries import SearchRequest
+from snipesaddle._internal.tables.world import World
+
+Reply = AnswerSearch | AnswerExecution | AnswerDirectory | RefuseRequest
+BodyT = TypeVar("BodyT", bound=pydantic.BaseModel)
+Handler = Callable[[Request], Coroutine[Any, Any, Response]]
+
+_MAX_KEY_LENGTH = 200
+_DISCONNECT = "http.disconnect"
+
+
+class BadRequest(Exception):  # noqa: N818
+    """A request that is answered with a problem, before any work."""
+
+    def __init__(self, response: Response) -> None:
+        super().__init__(response.status_code)
+        self.response = response
+
+
+class _Waiter:
+    """One caller that waits for its reply."""
+
+    def __init__(self) -> None:
+        self.ready = anyio.Event()
+        self.reply: Reply | None = None
+
+
+class HttpFront:
+    """Turns HTTP requests into events, and replies into responses."""
+
+    def __init__(self, world: World, histograms: Histograms) -> None:
+        self._world = world
+        self._histograms = histograms
+        self._waiters: dict[str, _Waiter] = {}
+        self._open = 0
+        self.app = Starlette(
+            routes=[
+                _route("/v1/entry-nodes", self._entry_nodes, "GET"),
+                _route("/v1/search/{service}", self._search, "POST"),
+                _route("/v1/execute/{service}", self._execute, "POST"),
+                _route("/v1/status", self._status, "GET"),
+                _route("/v1/metrics", self._metrics, "GET"),
+                _route("/v1/drain", self._drain, "POST"),
+                _route("/healthz", self._healthz, "GET"),
+                _route("/readyz", self._readyz, "GET"),
+            ],
+            exception_handlers={
+                404: replies.not_found,
+                405: replies.wrong_method,
+            },
+        )
+
+    def deliver(self, request_id: str, reply: Reply) -> None:
+        """Gives a waiting caller its reply; a caller that left gets none."""
+        waiter = self._waiters.pop(request_id, None)
+        if waiter is not None:
+            waiter.reply = reply
+            waiter.ready.set()
+
+    async def _entry_nodes(self, request: Request) -> Response:
+        zone = request.query_params.get("zone", "")
+        count = request.query_params.get("tickets", "1")
+        if not count.isdigit():
+            return replies.invalid("tickets must be a whole number from 0")
+        request_id = _new_request_id()
+        event = DirectoryAsked(request_id, zone, int(count))
+        reply = await self._ask(request, request_id, event)
+        return self._finish(replies.response_to(request_id, reply))
+
+    async def _search(self, request: Request) -> Response:
+        try:
+            body = await self._read(request, SearchBody)
+        except BadRequest as error:
+            return error.response
+        request_id = _new_request_id()
+        search = SearchRequest(
+            request_id=request_id,
+            target=request.path_params["service"],
+            services=tuple(body.services),
+            query=body.query,
+            tenant=body.tenant,
+            deadline_ms=body.deadline_ms or 0,
+        )
+        reply = await self._ask(request, request_id, SearchArrived(search))
+        return self._finish(replies.response_to(request_id, reply))
+
+    async def _execute(self, request: Request) -> Response:
+        try:
+            body = await self._read(request, ExecuteBody)
+            key = _execution_key(request, body)
+        except BadRequest as error:
+            return error.response
+        request_id = _new_request_id()
+        service = request.path_params["service"]
+        limit_ms = self._world.settings.admission.max_deadline_ms
+        execution = ExecuteRequest(
+            request_id=request_id,
+            service=service,
+            key=key,
+            is_ticket=body.ticket is not None,
+            body=body.body,
+            fingerprint=_fingerprint(service, body.body),
+            tenant=body.tenant,
+            deadline_ms=min(body.deadline_ms, limit_ms),
+        )
+        event = ExecutionArrived(execution)
+        reply = await self._ask(request, request_id, event)
+        return self._finish(replies.response_to(request_id, reply))
+
+    async def _status(self, request: Request) -> Response:
+        del request
+        now_ns = int(anyio.current_time() * 1e9)
+        return self._finish(replies.json_reply(status_of(self._world, now_ns)))
+
+    async def _metrics(self, request: Request) -> Response:
+        del request
+        summary = metrics_of(self._world) | self._histograms.summary()
+        return self._finish(replies.json_reply(summary))
+
+    async def _drain(self, request: Request) -> Response:
+        del request
+        self._world.inbox.put(DrainAsked())
+        return self._finish(replies.json_reply({"state": "leaving"}, 202))
+
+    async def _healthz(self, request: Request) -> Response:
+        del request
+        return replies.json_reply({"live": True})
+
+    async def _readyz(self, request: Request) -> Response:
+        del request
+        state = self._world.me.state
+        ready = state is NodeState.SERVING
+        body = {"ready": ready, "state": state.value}
+        return self._finish(replies.json_reply(body, 200 if ready else 503))
+
+    async def _ask(
+        self, request: Request, request_id: str, event: object
+    ) -> Reply | None:
+        waiter = self._waiters[request_id] = _Waiter()
+        self._count_open(1)
+        try:
+            self._world.inbox.put(event)
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    self._watch_caller, request, waiter, request_id
+                )
+                await waiter.ready.wait()
+                group.cancel_scope.cancel()
+        finally:
+            self._waiters.pop(request_id, None)
+            self._count_open(-1)
+        return waiter.reply
+
+    async def _watch_caller(
+        self, request: Request, waiter: _Waiter, request_id: str
+    ) -> None:
+        while True:
+            message = await request.receive()
+            if message["type"] == _DISCONNECT:
+                self._world.inbox.put(CallerGone(request_id))
+                waiter.ready.set()
+                return
+
+    def _count_open(self, change: int) -> None:
+        self._open += change
+        if self._world.me.state is not NodeState.SERVING:
+            self._world.inbox.put(RequestsOpen(self._open))
+
+    def _finish(self, response: Response) -> Response:
+        # A leaving node lets callers close their kept connections cleanly.
+        if self._world.me.state is NodeState.LEAVING:
+            response.headers["connection"] = "close"
+        return response
+
+    async def _read(self, request: Request, model: type[BodyT]) -> BodyT:
+        limit = self._world.settings.admission.max_body_bytes
+        content = bytearray()
+        try:
+            async for chunk in request.stream():
+                content += chunk
+                if len(content) > limit:
+                    raise BadRequest(replies.too_large(limit))
+        except ClientDisconnect:
+            raise BadRequest(replies.invalid("the body was cut")) from None
+        try:
+            parsed = msgspec.json.decode(bytes(content))
+        except msgspec.DecodeError as error:
+            raise BadRequest(replies.malformed(str(error))) from None
+        try:
+            return model.model_validate(parsed)
+        except pydantic.ValidationError as error:
+            raise BadRequest(replies.invalid_fields(error)) from None
+
+
+def _route(path: str, handler: Handler, method: str) -> Route:
+    return Route(path, handler, methods=[method])
+
+
+def _new_request_id() -> str:
+    return uuid.uuid4().hex
+
+
+def _fingerprint(service: str, body: object) -> str:
+    content = msgspec.json.encode([service, body], order="deterministic")
+    return hashlib.sha256(content).hexdigest()
+
+
+def _execution_key(request: Request, body: ExecuteBody) -> str:
+    key = request.headers.get("idempotency-key", "")
+    if bool(key) == bool(body.ticket):
+        detail = "give either a ticket or an Idempotency-Key header"
+        raise BadRequest(replies.invalid(detail))
+    if body.ticket:
+        return body.ticket
+    if len(key) > _MAX_KEY_LENGTH or not key.isprintable():
+        detail = f"Idempotency-Key has at most {_MAX_KEY_LENGTH} characters"
+        raise BadRequest(replies.invalid(detail))
+    return key
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/http_leaf.py
@@ -0,0 +1,133 @@
+"""Leaves over HTTP/1.1: one transport for each link."""
+
+from collections.abc import Callable
+
+import httpx
+import msgspec
+
+from snipesaddle._internal.adapters.http_client import (
+    HttpConnection,
+    HttpReply,
+)
+from snipesaddle._internal.adapters.leaf_messages import (
+    ExecuteBody,
+    HealthBody,
+    ReplyBody,
+    SearchBody,
+)
+from snipesaddle._internal.ports.leaf_transport import LeafTransport
+from snipesaddle._internal.tables.commands import ExecuteCall, SearchCall
+from snipesaddle._internal.tables.events import CallFinished, ProbeFinished
+from snipesaddle._internal.tables.queries import CallResult
+
+_OK = 200
+_CONFLICT = 409
+_UNAVAILABLE = 503
+_NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout)
+
+Connect = Callable[[str], HttpConnection]
+
+
+class HttpLeafTransport(LeafTransport):
+    """Calls leaves; each link is one HTTP connection."""
+
+    def __init__(self, connect: Connect = HttpConnection) -> None:
+        self._connect = connect
+        self._links: dict[int, HttpConnection] = {}
+        self._encode = msgspec.json.Encoder().encode
+        self._decode_reply = msgspec.json.Decoder(ReplyBody).decode
+        self._decode_health = msgspec.json.Decoder(HealthBody).decode
+
+    async def call(
+        self, leaf_id: str, link_id: int, request: SearchCall | ExecuteCall
+    ) -> CallFinished:
+        path, content = self._encode_request(request)
+        link = self._link(leaf_id, link_id)
+        try:
+            reply = await link.send("POST", path, content)
+            return self._read_reply(leaf_id, link_id, request.call_id, reply)
+        except _NOT_SENT_ERRORS as error:
+            result, detail = CallResult.NOT_SENT, str(error)
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            result, detail = CallResult.FAILED, str(error)
+        await self.close(link_id)
+        return CallFinished(
+            call_id=request.call_id,
+            leaf_id=leaf_id,
+            link_id=link_id,
+            result=result,
+            link_usable=False,
+            detail=detail,
+        )
+
+    async def probe(self, leaf_id: str, link_id: int) -> ProbeFinished:
+        link = self._link(leaf_id, link_id)
+        try:
+            reply = await link.get("/v1/health")
+            if reply.status != _OK:
+                return ProbeFinished(leaf_id, link_id, None, True)
+            health = self._decode_health(reply.content).to_health()
+            return ProbeFinished(leaf_id, link_id, health, True)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            await self.close(link_id)
+            return ProbeFinished(leaf_id, link_id, None, False)
+
+    async def close(self, link_id: int) -> None:
+        link = self._links.pop(link_id, None)
+        if link is not None:
+            await link.aclose()
+
+    async def aclose(self) -> None:
+        for link_id in list(self._links):
+            await self.close(link_id)
+
+    def _link(self, leaf_id: str, link_id: int) -> HttpConnection:
+        link = self._links.get(link_id)
+        if link is None:
+            link = self._links[link_id] = self._connect(leaf_id)
+        return link
+
+    def _encode_request(
+        self, request: SearchCall | ExecuteCall
+    ) -> tuple[str, bytes]:
+        if isinstance(request, ExecuteCall):
+            body = ExecuteBody(
+                request.call_id, request.key, request.body, request.deadline_ms
+            )
+            return "/v1/execute", self._encode(body)
+        search = SearchBody(
+            request.call_id,
+            request.shard.shard,
+            request.snapshot,
+            request.query,
+            request.deadline_ms,
+        )
+        return "/v1/search", self._encode(search)
+
+    def _read_reply(
+        self, leaf_id: str, link_id: int, call_id: int, reply: HttpReply
+    ) -> CallFinished:
+        body = self._decode_reply(reply.content)
+        return CallFinished(
+            call_id=call_id,
+            leaf_id=leaf_id,
+            link_id=link_id,
+            result=_result_of(reply.status, body),
+            reply_id=body.call_id,
+            reply_shard=body.shard,
+            reply_snapshot=body.snapshot,
+            hits=body.hits,
+            value=body.result,
+            status=body.status(),
+            detail=body.error,
+        )
+
+
+def _result_of(status: int, body: ReplyBody) -> CallResult:
+    if status == _OK:
+        return CallResult.ANSWERED
+    if status == _UNAVAILABLE and body.error == "not_run":
+        return CallResult.REFUSED
+    if status == _CONFLICT and body.error == "snapshot_gone":
+        return CallResult.SNAPSHOT_GONE
+    return CallResult.FAILED
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/http_store.py
@@ -0,0 +1,110 @@
+"""The platform's key-value service over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from urllib.parse import quote
+
+import anyio
+import httpx
+import msgspec
+
+from snipesaddle._internal.adapters.http_client import (
+    HttpConnection,
+    HttpReply,
+)
+from snipesaddle._internal.errors import StoreUnavailableError
+from snipesaddle._internal.models.settings import PlatformSettings
+from snipesaddle._internal.ports.store import PutResult, Store, StoreEntry
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+_MAX_IDLE = 4
+
+
+class _EntryBody(msgspec.Struct):
+    value: str
+    version: int
+
+
+class _PutBody(msgspec.Struct):
+    value: str
+    expect: int
+    life_s: int | None
+
+
+class _PutReply(msgspec.Struct):
+    version: int
+
+
+class HttpStore(Store):
+    """Calls the store; each concurrent call has its own connection."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._address = settings.store
+        self._timeout_s = settings.store_timeout_ms / 1_000
+        self._idle: list[HttpConnection] = []
+
+    async def get(self, key: str) -> StoreEntry | None:
+        async with self._connection(self._timeout_s) as connection:
+            reply = await connection.get(_path(key))
+            return _entry_of(reply)
+
+    async def watch(
+        self, key: str, after: int, wait_ms: int
+    ) -> StoreEntry | None:
+        path = f"{_path(key)}?after={after}&wait_ms={wait_ms}"
+        timeout_s = self._timeout_s + wait_ms / 1_000
+        async with self._connection(timeout_s) as connection:
+            return _entry_of(await connection.get(path))
+
+    async def put(
+        self, key: str, value: str, expect: int, life_s: int | None = None
+    ) -> PutResult:
+        content = msgspec.json.encode(_PutBody(value, expect, life_s))
+        async with self._connection(self._timeout_s) as connection:
+            reply = await connection.send("PUT", _path(key), content)
+            if reply.status not in (_OK, _CONFLICT):
+                raise StoreUnavailableError(f"status {reply.status}")
+            body = msgspec.json.decode(reply.content, type=_PutReply)
+            return PutResult(reply.status == _OK, body.version)
+
+    async def aclose(self) -> None:
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    @asynccontextmanager
+    async def _connection(
+        self, timeout_s: float
+    ) -> AsyncIterator[HttpConnection]:
+        connection = (
+            self._idle.pop() if self._idle else HttpConnection(self._address)
+        )
+        usable = False
+        try:
+            with anyio.fail_after(timeout_s):
+                yield connection
+            usable = len(self._idle) < _MAX_IDLE
+        except TimeoutError:
+            raise StoreUnavailableError("timeout") from None
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            raise StoreUnavailableError(str(error)) from error
+        finally:
+            if usable:
+                self._idle.append(connection)
+            else:
+                with anyio.CancelScope(shield=True):
+                    await connection.aclose()
+
+
+def _path(key: str) -> str:
+    return f"/v1/kv/{quote(key)}"
+
+
+def _entry_of(reply: HttpReply) -> StoreEntry | None:
+    if reply.status == _NOT_FOUND:
+        return None
+    if reply.status != _OK:
+        raise StoreUnavailableError(f"status {reply.status}")
+    body = msgspec.json.decode(reply.content, type=_EntryBody)
+    return StoreEntry(body.value, body.version)
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/node_client.py
@@ -0,0 +1,67 @@
+"""Asks entry nodes, for the command-line tool."""
+
+from typing import Any
+
+import httpx
+
+from snipesaddle._internal.errors import NodeUnavailableError
+
+_TIMEOUT_S = 5.0
+
+
+class NodeClient:
+    """Sends requests to one of the entry nodes that it is given."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+        self._client = httpx.AsyncClient(timeout=_TIMEOUT_S, trust_env=False)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        headers: dict[str, str] | None = None,
+    ) -> httpx.Response:
+        """Asks the first node that can be reached.
+
+        Raises:
+          NodeUnavailableError: none could be connected to.
+          httpx.HTTPError: a node was reached and its reply was lost.
+        """
+        for address in self._addresses:
+            try:
+                return await self._client.request(
+                    method,
+                    f"http://{address}{path}",
+                    json=body,
+                    headers=headers,
+                )
+            except (httpx.ConnectError, httpx.ConnectTimeout):
+                continue
+        raise NodeUnavailableError(self._addresses)
+
+    async def statuses(self) -> list[dict[str, Any]]:
+        """Returns the status of each node, with `error` where none came."""
+        first = (await self.request("GET", "/v1/status")).json()
+        addresses = [
+            peer["address"]
+            for peer in first["peers"]
+            if peer["live"] or peer["state"] == "serving"
+        ]
+        found = [first]
+        for address in addresses:
+            found.append(await self._status_at(address))
+        return found
+
+    async def _status_at(self, address: str) -> dict[str, Any]:
+        try:
+            response = await self._client.get(f"http://{address}/v1/status")
+            status: dict[str, Any] = response.json()
+        except httpx.HTTPError as error:
+            return {"node": address, "error": str(error) or "no answer"}
+        return status
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -0,0 +1,104 @@
+"""Messages between entry nodes over ZeroMQ push and pull sockets."""
+
+from typing import Any, get_args
+
+import anyio
+import msgspec
+import zmq
+from absl import logging
+
+from snipesaddle._internal.ports.peer_transport import PeerTransport, Receive
+from snipesaddle._internal.tables.messages import PeerMessage
+
+_SEND_QUEUE = 1_000
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 1_000
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+_MESSAGE_TYPES: dict[bytes, type[Any]] = {
+    kind.__name__.encode(): kind for kind in get_args(PeerMessage)
+}
+
+
+class ZmqPeerTransport(PeerTransport):
+    """Pushes to each peer's pull socket.
+
+    A message goes only to a connection that is up: none waits in a queue for
+    a process that may start later at the same address.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._context = zmq.Context()
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._decoders = {
+            name: msgspec.msgpack.Decoder(kind)
+            for name, kind in _MESSAGE_TYPES.items()
+        }
+        self._push: dict[str, zmq.Socket[bytes]] = {}
+        self._pull = self._context.socket(zmq.PULL)
+        self._pull.setsockopt(zmq.LINGER, 0)
+        self._pull.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        self._pull.bind(f"tcp://{address}")
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.received_messages = 0
+        self.received_bytes = 0
+
+    def send(self, peer_address: str, message: PeerMessage) -> None:
+        name = type(message).__name__.encode()
+        body = self._encode(message)
+        try:
+            self._socket(peer_address).send_multipart(
+                [name, body], flags=zmq.NOBLOCK
+            )
+        except zmq.Again:
+            return
+        self.sent_messages += 1
+        self.sent_bytes += len(name) + len(body)
+
+    async def receive(self, deliver: Receive) -> None:
+        descriptor = self._pull.getsockopt(zmq.FD)
+        assert isinstance(descriptor, int)
+        while True:
+            self._drain(deliver)
+            await anyio.wait_readable(descriptor)
+
+    def close(self) -> None:
+        for socket in self._push.values():
+            socket.close(linger=200)
+        self._pull.close()
+        self._context.term()
+
+    def _socket(self, peer_address: str) -> "zmq.Socket[bytes]":
+        socket = self._push.get(peer_address)
+        if socket is None:
+            socket = self._context.socket(zmq.PUSH)
+            socket.setsockopt(zmq.IMMEDIATE, 1)
+            socket.setsockopt(zmq.SNDHWM, _SEND_QUEUE)
+            socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MIN_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+            socket.connect(f"tcp://{peer_address}")
+            self._push[peer_address] = socket
+        return socket
+
+    def _drain(self, deliver: Receive) -> None:
+        while True:
+            try:
+                frames = self._pull.recv_multipart(flags=zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._deliver(frames, deliver)
+
+    def _deliver(self, frames: list[bytes], deliver: Receive) -> None:
+        self.received_messages += 1
+        self.received_bytes += sum(len(frame) for frame in frames)
+        decoder = self._decoders.get(frames[0]) if len(frames) == 2 else None
+        if decoder is None:
+            logging.warning("dropped a peer message of an unknown type")
+            return
+        try:
+            message = decoder.decode(frames[1])
+        except msgspec.MsgspecError as error:
+            logging.warning("dropped a malformed peer message: %s", error)
+            return
+        deliver(message)
--- /dev/null
+++ b/src/snipesaddle/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command lines, as thin as can be."""
--- /dev/null
+++ b/src/snipesaddle/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the tool: plain functions below the command line."""
--- /dev/null
+++ b/src/snipesaddle/_internal/commands/publish.py
@@ -0,0 +1,97 @@
+"""Publishes services and waits until they are in force."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from snipesaddle._internal.adapters.config_store import (
+    ConfigStore,
+    digest_of,
+    encode_spec,
+)
+from snipesaddle._internal.adapters.node_client import NodeClient
+from snipesaddle._internal.publishing import (
+    Change,
+    Published,
+    Publisher,
+    changed_names,
+)
+from snipesaddle._internal.tables.config import Head, PublishRecord
+
+_POLL_S = 0.05
+
+Progress = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Whether a generation is in force, and where it is not."""
+
+    generation: int
+    waited_ms: int
+    nodes: int
+    lagging: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """What a publish of some files would change."""
+
+    generation: int
+    added: tuple[str, ...]
+    changed: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+async def publish(
+    configs: ConfigStore, change: Change, patience_s: float
+) -> Published:
+    """Publishes a change; errors are those of Publisher.publish."""
+    return await Publisher(configs, patience_s).publish(change)
+
+
+async def diff(configs: ConfigStore, change: Change) -> Difference:
+    """Returns what a publish would change, without writing."""
+    head, _ = await configs.read_head()
+    digests = {s.name: digest_of(encode_spec(s)) for s in change.specs}
+    touched = changed_names(head, digests, change.removed)
+    return Difference(
+        generation=head.generation,
+        added=tuple(n for n in touched if n not in head.services),
+        changed=tuple(
+            n for n in touched if n in head.services and n in digests
+        ),
+        removed=tuple(n for n in touched if n in change.removed),
+    )
+
+
+async def history(configs: ConfigStore) -> tuple[PublishRecord, ...]:
+    """Returns the newest publishes, newest last."""
+    head: Head = (await configs.read_head())[0]
+    return head.history
+
+
+async def wait_in_force(
+    client: NodeClient, generation: int, timeout_s: float, progress: Progress
+) -> InForce:
+    """Waits until every live node has a generation in force."""
+    started_s = time.monotonic()
+    told = -1
+    while True:
+        statuses = await client.statuses()
+        lagging = tuple(
+            str(status["node"])
+            for status in statuses
+            if int(status.get("generation", 0)) < generation
+        )
+        waited_s = time.monotonic() - started_s
+        if not lagging or waited_s >= timeout_s:
+            return InForce(
+                generation, int(waited_s * 1_000), len(statuses), lagging
+            )
+        if int(waited_s) > told:
+            told = int(waited_s)
+            progress(f"waiting for {', '.join(lagging)}")
+        await anyio.sleep(_POLL_S)
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: start-up, the tick loop and clean-up."""
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/dispatcher.py
@@ -0,0 +1,188 @@
+"""Carries out the commands that the systems wrote."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from absl import logging
+from anyio.abc import TaskGroup
+
+from snipesaddle._internal.adapters.http_front import HttpFront
+from snipesaddle._internal.daemon.ports import Ports
+from snipesaddle._internal.errors import StoreUnavailableError
+from snipesaddle._internal.metrics.histograms import Histograms
+from snipesaddle._internal.tables import commands, events
+from snipesaddle._internal.tables.queries import CallResult
+from snipesaddle._internal.tables.world import World
+
+_NS_PER_S = 1_000_000_000
+
+
+class Dispatcher:
+    """Starts a task for each command that waits; the rest run at once."""
+
+    def __init__(
+        self,
+        world: World,
+        ports: Ports,
+        front: HttpFront,
+        histograms: Histograms,
+        tasks: TaskGroup,
+    ) -> None:
+        self._world = world
+        self._ports = ports
+        self._front = front
+        self._histograms = histograms
+        self._tasks = tasks
+        self._calls: dict[int, anyio.CancelScope] = {}
+        self.front_stopped = anyio.Event()
+        self.node_stopped = anyio.Event()
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            commands.StartCall: self._start_call,
+            commands.CancelCall: self._cancel_call,
+            commands.Probe: self._probe,
+            commands.CloseLink: self._close_link,
+            commands.AnswerSearch: self._answer_search,
+            commands.RefuseRequest: self._deliver,
+            commands.AnswerExecution: self._deliver,
+            commands.AnswerDirectory: self._deliver,
+            commands.SendPeer: self._send_peer,
+            commands.ReadVmList: self._read_vm_list,
+            commands.WatchHead: self._watch_head,
+            commands.FetchBlobs: self._fetch_blobs,
+            commands.ClaimKey: self._claim_key,
+            commands.StopFront: self._stop_front,
+            commands.StopNode: self._stop_node,
+        }
+
+    def dispatch(self, command: commands.Command) -> None:
+        """Carries out one command, or starts to."""
+        self._handlers[type(command)](command)
+
+    def _start_call(self, command: commands.StartCall) -> None:
+        # The scope exists before the task runs, so that a cancel that comes
+        # at once is not lost.
+        scope = anyio.CancelScope()
+        self._calls[command.request.call_id] = scope
+        self._tasks.start_soon(self._run_call, command, scope)
+
+    async def _run_call(
+        self, command: commands.StartCall, scope: anyio.CancelScope
+    ) -> None:
+        finished = None
+        call_id = command.request.call_id
+        with scope:
+            with anyio.move_on_after(command.timeout_ns / _NS_PER_S):
+                finished = await self._ports.leaves.call(
+                    command.leaf_id, command.link_id, command.request
+                )
+        self._calls.pop(call_id, None)
+        if finished is None:
+            await self._ports.leaves.close(command.link_id)
+            finished = events.CallFinished(
+                call_id=call_id,
+                leaf_id=command.leaf_id,
+                link_id=command.link_id,
+                result=CallResult.FAILED,
+                link_usable=False,
+                detail="cancelled or timed out",
+            )
+        self._world.inbox.put(finished)
+
+    def _cancel_call(self, command: commands.CancelCall) -> None:
+        scope = self._calls.get(command.call_id)
+        if scope is not None:
+            scope.cancel()
+
+    def _probe(self, command: commands.Probe) -> None:
+        self._tasks.start_soon(self._run_probe, command)
+
+    async def _run_probe(self, command: commands.Probe) -> None:
+        finished = None
+        with anyio.move_on_after(command.timeout_ns / _NS_PER_S):
+            finished = await self._ports.leaves.probe(
+                command.leaf_id, command.link_id
+            )
+        if finished is None:
+            await self._ports.leaves.close(command.link_id)
+            finished = events.ProbeFinished(
+                command.leaf_id, command.link_id, None, False
+            )
+        self._world.inbox.put(finished)
+
+    def _close_link(self, command: commands.CloseLink) -> None:
+        self._tasks.start_soon(self._run_close, command.link_id)
+
+    async def _run_close(self, link_id: int) -> None:
+        await self._ports.leaves.close(link_id)
+        self._world.inbox.put(events.LinkClosed(link_id))
+
+    def _answer_search(self, command: commands.AnswerSearch) -> None:
+        answer = command.answer
+        self._histograms.record(
+            command.class_name,
+            command.tenant,
+            command.latency_ns,
+            not answer.missing,
+        )
+        self._front.deliver(answer.request_id, command)
+
+    def _deliver(
+        self,
+        command: commands.RefuseRequest
+        | commands.AnswerExecution
+        | commands.AnswerDirectory,
+    ) -> None:
+        self._front.deliver(command.request_id, command)
+
+    def _send_peer(self, command: commands.SendPeer) -> None:
+        self._world.counters.peer_messages_sent += 1
+        self._ports.peers.send(command.peer_address, command.message)
+
+    def _read_vm_list(self, command: commands.ReadVmList) -> None:
+        del command
+        self._tasks.start_soon(self._run_read_vm_list)
+
+    async def _run_read_vm_list(self) -> None:
+        self._world.inbox.put(await self._ports.vm_list.read())
+
+    def _watch_head(self, command: commands.WatchHead) -> None:
+        self._tasks.start_soon(self._run_watch_head, command)
+
+    async def _run_watch_head(self, command: commands.WatchHead) -> None:
+        try:
+            head = await self._ports.configs.watch_head(
+                command.generation, command.wait_ms
+            )
+            self._world.inbox.put(events.HeadRead(head))
+        except StoreUnavailableError as error:
+            logging.warning("%s", error)
+            self._world.inbox.put(events.HeadRead(None))
+
+    def _fetch_blobs(self, command: commands.FetchBlobs) -> None:
+        self._tasks.start_soon(self._run_fetch_blobs, command)
+
+    async def _run_fetch_blobs(self, command: commands.FetchBlobs) -> None:
+        try:
+            blobs = await self._ports.configs.read_specs(command.digests)
+            self._world.inbox.put(events.BlobsRead(blobs))
+        except StoreUnavailableError as error:
+            logging.warning("%s", error)
+            self._world.inbox.put(events.BlobsRead({}))
+
+    def _claim_key(self, command: commands.ClaimKey) -> None:
+        self._tasks.start_soon(self._run_claim_key, command)
+
+    async def _run_claim_key(self, command: commands.ClaimKey) -> None:
+        owner = await self._ports.claims.claim(command)
+        self._world.inbox.put(
+            events.ClaimFinished(command.key, command.service, owner)
+        )
+
+    def _stop_front(self, command: commands.StopFront) -> None:
+        del command
+        self.front_stopped.set()
+
+    def _stop_node(self, command: commands.StopNode) -> None:
+        del command
+        self.node_stopped.set()
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/loop.py
@@ -0,0 +1,45 @@
+"""The event-driven tick loop."""
+
+import anyio
+
+from snipesaddle._internal.daemon import clock
+from snipesaddle._internal.daemon.dispatcher import Dispatcher
+from snipesaddle._internal.systems.schedule import Schedule
+from snipesaddle._internal.tables.world import World
+
+
+class TickLoop:
+    """Ticks when an event arrives or a timer is due, and sleeps otherwise."""
+
+    def __init__(
+        self, world: World, schedule: Schedule, dispatcher: Dispatcher
+    ) -> None:
+        self._world = world
+        self._schedule = schedule
+        self._dispatcher = dispatcher
+        self._wake = anyio.Event()
+        world.inbox.on_event(self._on_event)
+
+    def _on_event(self) -> None:
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Ticks until cancelled."""
+        self._schedule.start(self._world, clock.now_ns())
+        while True:
+            self._wake = anyio.Event()
+            commands = self._schedule.tick(self._world, clock.now_ns())
+            for command in commands:
+                self._dispatcher.dispatch(command)
+            if self._world.inbox.is_empty():
+                await self._sleep()
+            else:
+                await anyio.lowlevel.checkpoint()
+
+    async def _sleep(self) -> None:
+        due_ns = self._world.timers.next_due_ns()
+        if due_ns is None:
+            await self._wake.wait()
+            return
+        with anyio.CancelScope(deadline=clock.to_deadline_s(due_ns)):
+            await self._wake.wait()
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/node.py
@@ -0,0 +1,109 @@
+"""One entry node: its tables, systems and adapters put together."""
+
+import random
+import secrets
+import time
+from contextlib import AsyncExitStack
+
+import anyio
+from absl import logging
+from anyio.abc import TaskGroup
+
+from snipesaddle._internal.adapters.claim_store import ClaimStore
+from snipesaddle._internal.adapters.config_store import ConfigStore
+from snipesaddle._internal.adapters.http_front import HttpFront
+from snipesaddle._internal.adapters.http_leaf import HttpLeafTransport
+from snipesaddle._internal.adapters.http_store import HttpStore
+from snipesaddle._internal.adapters.http_vm_list import HttpVmList
+from snipesaddle._internal.adapters.zmq_peer import ZmqPeerTransport
+from snipesaddle._internal.daemon import clock, server
+from snipesaddle._internal.daemon.dispatcher import Dispatcher
+from snipesaddle._internal.daemon.loop import TickLoop
+from snipesaddle._internal.daemon.ports import Ports
+from snipesaddle._internal.metrics.histograms import Histograms
+from snipesaddle._internal.models.settings import Settings
+from snipesaddle._internal.systems.schedule import Schedule
+from snipesaddle._internal.tables.nodes import Self
+from snipesaddle._internal.tables.world import World
+
+
+def build_world(settings: Settings, started_ns: int, incarnation: str) -> World:
+    """Returns the empty tables of a node that starts now."""
+    node = settings.node
+    seed = settings.seed
+    world = World(
+        settings=settings,
+        me=Self(
+            node_id=node.name,
+            incarnation=incarnation,
+            http_address=node.http,
+            peer_address=node.peer_advertised or node.peer,
+            zone=node.zone,
+            started_ns=started_ns,
+        ),
+        rng=random.Random(secrets.randbits(64) if seed is None else seed),
+    )
+    world.spaces.add(incarnation)
+    return world
+
+
+def new_incarnation(node_name: str) -> str:
+    """Returns a name for this run of the process; later runs sort higher."""
+    started_unix_ms = time.time_ns() // 1_000_000
+    return f"{node_name}~{started_unix_ms:012x}-{secrets.token_hex(4)}"
+
+
+class Node:
+    """Runs the tables of one node with the ports given."""
+
+    def __init__(self, world: World, ports: Ports, tasks: TaskGroup) -> None:
+        histograms = Histograms()
+        self.front = HttpFront(world, histograms)
+        self._world = world
+        self._ports = ports
+        self._tasks = tasks
+        self.dispatcher = Dispatcher(
+            world, ports, self.front, histograms, tasks
+        )
+        self._loop = TickLoop(world, Schedule(world), self.dispatcher)
+
+    def start(self) -> None:
+        """Starts the tick loop and the receiver of peer messages."""
+        self._tasks.start_soon(self._loop.run)
+        self._tasks.start_soon(self._ports.peers.receive, self._world.inbox.put)
+
+
+async def open_ports(settings: Settings, stack: AsyncExitStack) -> Ports:
+    """Opens the adapters; the exit stack closes them."""
+    store = HttpStore(settings.platform)
+    stack.push_async_callback(store.aclose)
+    leaves = HttpLeafTransport()
+    stack.push_async_callback(leaves.aclose)
+    vm_list = HttpVmList(settings.platform)
+    stack.push_async_callback(vm_list.aclose)
+    peers = ZmqPeerTransport(settings.node.peer)
+    stack.callback(peers.close)
+    return Ports(
+        leaves=leaves,
+        peers=peers,
+        vm_list=vm_list,
+        configs=ConfigStore(store),
+        claims=ClaimStore(store, settings.executions.claim_life_s),
+    )
+
+
+async def run_node(settings: Settings) -> None:
+    """Runs an entry node until it has drained."""
+    async with AsyncExitStack() as stack:
+        ports = await open_ports(settings, stack)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        incarnation = new_incarnation(settings.node.name)
+        world = build_world(settings, clock.now_ns(), incarnation)
+        node = Node(world, ports, tasks)
+        tasks.start_soon(server.watch_signals, world)
+        tasks.start_soon(server.serve, settings, node)
+        node.start()
+        logging.info("started incarnation %s", incarnation)
+        await node.dispatcher.node_stopped.wait()
+        logging.info("drained; stopping")
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/server.py
@@ -0,0 +1,54 @@
+"""The HTTP server and the signals of the process."""
+
+import signal
+from typing import TYPE_CHECKING, cast
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.trio
+from absl import logging
+from hypercorn.config import Config
+from hypercorn.typing import ASGIFramework
+
+from snipesaddle._internal.models.settings import Settings
+from snipesaddle._internal.tables.events import DrainAsked
+from snipesaddle._internal.tables.world import World
+
+if TYPE_CHECKING:
+    from snipesaddle._internal.daemon.node import Node
+
+_KEEP_ALIVE_S = 75
+# Hypercorn would end a connection, requests in flight included, after this.
+_MAX_REQUESTS_PER_CONNECTION = 2**62
+
+
+async def serve(settings: Settings, node: "Node") -> None:
+    """Serves callers until the node stops its front."""
+    config = _config_of(settings)
+    stop = node.dispatcher.front_stopped.wait
+    app = cast("ASGIFramework", node.front.app)
+    if settings.event_loop == "trio":
+        await hypercorn.trio.serve(app, config, shutdown_trigger=stop)
+    else:
+        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop)
+
+
+async def watch_signals(world: World) -> None:
+    """Lets the node drain at SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logging.info("signal %d: draining", number)
+            world.inbox.put(DrainAsked())
+
+
+def _config_of(settings: Settings) -> Config:
+    config = Config()
+    config.bind = [settings.node.http]
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.keep_alive_timeout = _KEEP_ALIVE_S
+    config.keep_alive_max_requests = _MAX_REQUESTS_PER_CONNECTION
+    config.graceful_timeout = settings.drain.finish_timeout_ms / 1_000
+    config.backlog = 1_024
+    return config
--- /dev/null
+++ b/src/snipesaddle/_internal/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Histograms and structured logs."""
--- /dev/null
+++ b/src/snipesaddle/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of what crosses the border."""
--- /dev/null
+++ b/src/snipesaddle/_internal/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract base classes of what lies outside an entry node."""
--- /dev/null
+++ b/src/snipesaddle/_internal/ports/peer_transport.py
@@ -0,0 +1,24 @@
+"""The port to other entry nodes."""
+
+import abc
+from collections.abc import Callable
+
+from snipesaddle._internal.tables.messages import PeerMessage
+
+Receive = Callable[[PeerMessage], None]
+
+
+class PeerTransport(abc.ABC):
+    """Carries one-way messages; a message may be lost, none comes twice."""
+
+    @abc.abstractmethod
+    def send(self, peer_address: str, message: PeerMessage) -> None:
+        """Sends a message, or drops it when the peer is not connected."""
+
+    @abc.abstractmethod
+    async def receive(self, deliver: Receive) -> None:
+        """Delivers messages until cancelled."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Closes all sockets."""
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/admission.py
@@ -0,0 +1,136 @@
+"""Admission: takes a search on, or refuses it before any work."""
+
+from snipesaddle._internal.systems import snapshots
+from snipesaddle._internal.systems.base import NS_PER_MS, System
+from snipesaddle._internal.tables.commands import RefuseRequest
+from snipesaddle._internal.tables.config import (
+    ServiceKind,
+    ServiceSpec,
+    WhenLate,
+)
+from snipesaddle._internal.tables.events import SearchArrived
+from snipesaddle._internal.tables.queries import (
+    Query,
+    SearchRequest,
+    ShardTask,
+)
+from snipesaddle._internal.tables.timers import TimerKind
+from snipesaddle._internal.tables.world import World
+
+_RETRY_AFTER_MS = 200
+# Each step of priority halves the distance to the full limit less.
+_SHARE_STEP = 0.5
+
+
+def query_limit(world: World, priority: int) -> int:
+    """Returns how many queries may be open for one more to be taken on."""
+    limit = world.settings.admission.max_queries
+    return max(1, int(limit / (1 + _SHARE_STEP * priority)))
+
+
+class AdmissionSystem(System):
+    """Turns arrived searches into queries with their shards."""
+
+    def run(self, world: World, now_ns: int) -> None:
+        arrived = world.inbox.take(SearchArrived)
+        admitted = [
+            (specs[0].priority, event.request, specs)
+            for event in arrived
+            if (specs := self._resolve(world, event.request))
+        ]
+        admitted.sort(key=lambda entry: entry[0])
+        for _, request, specs in admitted:
+            self._admit(world, request, specs, now_ns)
+
+    def _resolve(
+        self, world: World, request: SearchRequest
+    ) -> list[ServiceSpec]:
+        if world.config.generation == 0:
+            _refuse(world, request, "not_ready", "no configuration yet")
+            return []
+        names = world.config.workloads.get(request.target, (request.target,))
+        unknown = [n for n in names if n not in world.config.services]
+        unknown += [n for n in request.services if n not in names]
+        if unknown:
+            detail = f"no such service: {', '.join(unknown)}"
+            _refuse(world, request, "unknown_service", detail)
+            return []
+        asked = request.services or names
+        specs = [world.config.services[n] for n in dict.fromkeys(asked)]
+        if any(spec.kind is not ServiceKind.SEARCH for spec in specs):
+            detail = f"{request.target} does not answer searches"
+            _refuse(world, request, "wrong_kind", detail)
+            return []
+        return specs
+
+    def _admit(
+        self,
+        world: World,
+        request: SearchRequest,
+        specs: list[ServiceSpec],
+        now_ns: int,
+    ) -> None:
+        if len(world.queries) >= query_limit(world, specs[0].priority):
+            detail = "the node has as many queries as it can answer in time"
+            _refuse(world, request, "overload", detail, _RETRY_AFTER_MS)
+            return
+        query = self._build(world, request, specs, now_ns)
+        world.queries.put(query.query_id, query)
+        world.query_ids[request.request_id] = query.query_id
+        plan(world, query)
+        world.timers.set(
+            TimerKind.QUERY_DEADLINE, query.query_id, query.give_up_ns
+        )
+
+    def _build(
+        self,
+        world: World,
+        request: SearchRequest,
+        specs: list[ServiceSpec],
+        now_ns: int,
+    ) -> Query:
+        settings = world.settings.admission
+        budget_ms = request.deadline_ms or specs[0].latency_budget_ms
+        budget_ms = min(budget_ms, settings.max_deadline_ms)
+        usable_ms = max(1, budget_ms - settings.return_trip_ms)
+        deadline_ns = now_ns + usable_ms * NS_PER_MS
+        return Query(
+            query_id=world.next_id(),
+            request=request,
+            services=tuple(spec.name for spec in specs),
+            class_name=specs[0].class_name,
+            priority=specs[0].priority,
+            arrived_ns=now_ns,
+            deadline_ns=deadline_ns,
+            give_up_ns=deadline_ns + _grace_ms(specs) * NS_PER_MS,
+        )
+
+
+def plan(world: World, query: Query) -> None:
+    """Pins a snapshot and lists the shards that the query needs."""
+    query.snapshot = snapshots.pin(world, query.services)
+    weights = snapshots.weigh(world, query.services, query.snapshot)
+    query.tasks = {
+        key: ShardTask(key, weight) for key, weight in weights.items()
+    }
+    query.open_tasks = len(query.tasks)
+    query.snapshot_lost = False
+    world.needs.extend((query.query_id, key) for key in query.tasks)
+
+
+def _grace_ms(specs: list[ServiceSpec]) -> int:
+    waiting = [s.grace_ms for s in specs if s.when_late is WhenLate.WAIT]
+    return max(waiting, default=0)
+
+
+def _refuse(
+    world: World,
+    request: SearchRequest,
+    reason: str,
+    detail: str,
+    retry_after_ms: int = 0,
+) -> None:
+    world.counters.refused += 1
+    world.emit(
+        RefuseRequest(request.request_id, reason, detail, retry_after_ms)
+    )
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/directory.py
@@ -0,0 +1,44 @@
+"""Directory: tells callers which entry nodes to use."""
+
+from snipesaddle._internal.systems import membership, tickets
+from snipesaddle._internal.systems.base import System
+from snipesaddle._internal.tables.commands import (
+    AnswerDirectory,
+    DirectoryNode,
+)
+from snipesaddle._internal.tables.events import DirectoryAsked
+from snipesaddle._internal.tables.nodes import NodeState
+from snipesaddle._internal.tables.world import World
+
+
+class DirectorySystem(System):
+    """Answers with serving nodes, the nearest zone first, and tickets."""
+
+    def run(self, world: World, now_ns: int) -> None:
+        for asked in world.inbox.take(DirectoryAsked):
+            settings = world.settings.directory
+            serving = world.me.state is NodeState.SERVING
+            count = min(asked.tickets, settings.max_tickets) if serving else 0
+            issued = tuple(tickets.issue(world, now_ns) for _ in range(count))
+            world.emit(
+                AnswerDirectory(
+                    request_id=asked.request_id,
+                    nodes=_nodes(world, asked.zone),
+                    keep_ms=settings.keep_ms,
+                    tickets=issued,
+                )
+            )
+
+
+def _nodes(world: World, zone: str) -> tuple[DirectoryNode, ...]:
+    nodes = [
+        DirectoryNode(peer.node_id, peer.http_address, peer.zone)
+        for peer in membership.live_peers(world)
+        if peer.state is NodeState.SERVING
+    ]
+    me = world.me
+    if me.state is NodeState.SERVING:
+        nodes.append(DirectoryNode(me.node_id, me.http_address, me.zone))
+    world.rng.shuffle(nodes)
+    nodes.sort(key=lambda node: node.zone != zone)
+    return tuple(nodes[: world.settings.directory.size])
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/drain.py
@@ -0,0 +1,213 @@
+"""Drain: how a node leaves without cutting or losing a request.
+
+The node leaves the directory, serves on while callers may hold an old
+answer, finishes what is open, hands its execution keys to one heir, and
+stops.
+"""
+
+from snipesaddle._internal.systems import membership
+from snipesaddle._internal.systems.base import NS_PER_MS, System
+from snipesaddle._internal.tables.commands import (
+    SendPeer,
+    StopFront,
+    StopNode,
+)
+from snipesaddle._internal.tables.events import DrainAsked, RequestsOpen
+from snipesaddle._internal.tables.executions import (
+    Execution,
+    ExecutionAnswer,
+    ExecutionState,
+    Outcome,
+)
+from snipesaddle._internal.tables.messages import (
+    HandedExecution,
+    Handover,
+    HandoverReply,
+    HeirRumour,
+)
+from snipesaddle._internal.tables.nodes import DrainPhase, NodeState, Peer
+from snipesaddle._internal.tables.timers import TimerKind
+from snipesaddle._internal.tables.world import World
+
+_CHECK_NS = 50 * NS_PER_MS
+_RESEND_NS = 100 * NS_PER_MS
+_LOST = "the node that ran it left before the leaf answered"
+
+
+class DrainSystem(System):
+    """Leads this node out, and takes over from others that leave."""
+
+    def run(self, world: World, now_ns: int) -> None:
+        for opened in world.inbox.take(RequestsOpen):
+            world.me.open_requests = opened.count
+        for offer in world.inbox.take(Handover):
+            self._take_over(world, offer, now_ns)
+        self._greet_joined(world)
+        if world.inbox.take(DrainAsked):
+            self._begin(world, now_ns)
+        for reply in world.inbox.take(HandoverReply):
+            self._apply_reply(world, reply, now_ns)
+        if world.timers.pop_due(TimerKind.DRAIN, now_ns):
+            self._advance(world, now_ns)
+
+    def _greet_joined(self, world: World) -> None:
+        inherited = tuple(sorted(world.spaces - {world.me.incarnation}))
+        joined, world.joined = world.joined, []
+        if not inherited:
+            return
+        rumour = HeirRumour(inherited, world.me.incarnation)
+        for node_id in joined:
+            peer = world.peers.get(node_id)
+            if peer is not None:
+                world.emit(SendPeer(peer.peer_address, rumour))
+
+    def _begin(self, world: World, now_ns: int) -> None:
+        if world.me.phase is not DrainPhase.NONE:
+            return
+        world.me.state = NodeState.LEAVING
+        world.me.phase = DrainPhase.SERVING_OUT
+        membership.announce(world)
+        settings = world.settings
+        margin_ms = 2 * settings.membership.heartbeat_interval_ms
+        keep_ms = settings.directory.keep_ms + margin_ms
+        world.me.phase_due_ns = now_ns + keep_ms * NS_PER_MS
+        world.timers.set(TimerKind.DRAIN, "phase", world.me.phase_due_ns)
+
+    def _advance(self, world: World, now_ns: int) -> None:
+        phase = world.me.phase
+        if phase is DrainPhase.SERVING_OUT:
+            self._stop_front(world, now_ns)
+        elif phase is DrainPhase.FINISHING:
+            self._finish(world, now_ns)
+        elif phase is DrainPhase.HANDING_OVER:
+            self._offer(world, now_ns)
+
+    def _stop_front(self, world: World, now_ns: int) -> None:
+        world.emit(StopFront())
+        world.me.phase = DrainPhase.FINISHING
+        finish_ms = world.settings.drain.finish_timeout_ms
+        world.me.phase_due_ns = now_ns + finish_ms * NS_PER_MS
+        world.timers.set(TimerKind.DRAIN, "phase", now_ns + _CHECK_NS)
+
+    def _finish(self, world: World, now_ns: int) -> None:
+        busy = world.me.open_requests or len(world.queries)
+        busy = busy or len(world.running_executions) or len(world.relays)
+        busy = busy or len(world.waiting_executions)
+        if busy and now_ns < world.me.phase_due_ns:
+            world.timers.set(TimerKind.DRAIN, "phase", now_ns + _CHECK_NS)
+            return
+        world.me.phase = DrainPhase.HANDING_OVER
+        handover_ms = world.settings.drain.handover_timeout_ms
+        world.me.phase_due_ns = now_ns + handover_ms * NS_PER_MS
+        self._offer(world, now_ns)
+
+    def _offer(self, world: World, now_ns: int) -> None:
+        heir = self._choose_heir(world)
+        if heir is None or now_ns >= world.me.phase_due_ns:
+            self._stop(world)
+            return
+        world.me.heir = heir.incarnation
+        offer = Handover(
+            sender=world.me.incarnation,
+            reply_address=world.me.peer_address,
+            spaces=tuple(sorted(world.spaces)),
+            executions=tuple(_handed(world)),
+        )
+        world.emit(SendPeer(heir.peer_address, offer))
+        world.timers.set(TimerKind.DRAIN, "phase", now_ns + _RESEND_NS)
+
+    def _choose_heir(self, world: World) -> Peer | None:
+        # Once an offer has been sent, only that node may become the heir.
+        if world.me.heir:
+            for peer in world.peers:
+                if peer.incarnation == world.me.heir:
+                    return peer
+            return None
+        serving = [
+            peer
+            for peer in membership.live_peers(world)
+            if peer.state is NodeState.SERVING
+        ]
+        refused = world.refused_heirs
+        fit = [p for p in serving if p.incarnation not in refused]
+        return world.rng.choice(fit) if fit else None
+
+    def _apply_reply(
+        self, world: World, reply: HandoverReply, now_ns: int
+    ) -> None:
+        if reply.heir != world.me.heir:
+            return
+        if reply.accepted:
+            self._stop(world)
+            return
+        world.refused_heirs.add(reply.heir)
+        world.me.heir = ""
+        self._offer(world, now_ns)
+
+    def _stop(self, world: World) -> None:
+        if world.me.phase is DrainPhase.DONE:
+            return
+        world.me.phase = DrainPhase.DONE
+        world.me.state = NodeState.STOPPED
+        membership.announce(world)
+        world.emit(StopNode())
+
+    def _take_over(self, world: World, offer: Handover, now_ns: int) -> None:
+        me = world.me
+        known = world.accepted_spaces.issuperset(offer.spaces)
+        accepted = known or me.state is NodeState.SERVING
+        reply = HandoverReply(me.incarnation, accepted)
+        world.emit(SendPeer(offer.reply_address, reply))
+        if known or not accepted:
+            return
+        world.accepted_spaces.update(offer.spaces)
+        world.spaces.update(offer.spaces)
+        life_ns = 2 * world.settings.executions.ticket_life_ms * NS_PER_MS
+        for handed in offer.executions:
+            row = _row_of(handed, now_ns)
+            world.executions.put(row.key, row)
+            world.timers.set(
+                TimerKind.EXECUTION_EXPIRY, row.key, now_ns + life_ns
+            )
+        for space in offer.spaces:
+            world.heirs.pop(space, None)
+        membership.flood(world, HeirRumour(offer.spaces, me.incarnation))
+
+
+def _handed(world: World) -> list[HandedExecution]:
+    handed = []
+    for row in world.executions:
+        reply = row.answer
+        if row.state is ExecutionState.RUNNING:
+            reply = ExecutionAnswer(Outcome.UNKNOWN, detail=_LOST)
+        if row.state is ExecutionState.READY:
+            reply = ExecutionAnswer(Outcome.NOT_RUN, detail=_LOST)
+        if reply is not None:
+            row.state = ExecutionState.ENDED
+            row.answer = reply
+            handed.append(
+                HandedExecution(
+                    row.key,
+                    row.service,
+                    row.fingerprint,
+                    row.incarnation,
+                    row.is_ticket,
+                    reply,
+                )
+            )
+    return handed
+
+
+def _row_of(handed: HandedExecution, now_ns: int) -> Execution:
+    return Execution(
+        key=handed.key,
+        service=handed.service,
+        fingerprint=handed.fingerprint,
+        body=None,
+        tenant="",
+        state=ExecutionState.ENDED,
+        deadline_ns=now_ns,
+        incarnation=handed.incarnation,
+        answer=handed.answer,
+        is_ticket=handed.is_ticket,
+    )
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/health.py
@@ -0,0 +1,242 @@
+"""Leaf health: what replies, probes and other nodes say of each leaf."""
+
+from snipesaddle._internal.systems import links, membership, rendezvous
+from snipesaddle._internal.systems.base import NS_PER_MS, System
+from snipesaddle._internal.tables.config import LeafSpec, ServiceSpec
+from snipesaddle._internal.tables.events import (
+    LeafHealth,
+    LeafStatus,
+    ProbeFinished,
+)
+from snipesaddle._internal.tables.leaves import Leaf, LeafState
+from snipesaddle._internal.tables.messages import LeafRumour
+from snipesaddle._internal.tables.timers import TimerKind
+from snipesaddle._internal.tables.world import World
+
+_LATENCY_WEIGHT = 0.2
+_MAX_EJECTION_DOUBLINGS = 5
+
+
+def record_latency(leaf: Leaf, latency_ns: int) -> None:
+    """Updates the moving average of a leaf's latency."""
+    if leaf.latency_ns == 0:
+        leaf.latency_ns = latency_ns
+        return
+    leaf.latency_ns += _LATENCY_WEIGHT * (latency_ns - leaf.latency_ns)
+
+
+def record_success(leaf: Leaf) -> None:
+    """Ends a leaf's row of failures."""
+    leaf.failures = 0
+    leaf.ejected_until_ns = 0
+
+
+def record_failure(world: World, leaf: Leaf, now_ns: int) -> None:
+    """Counts a failure; a row of them ejects the leaf for a while."""
+    settings = world.settings.leaves
+    leaf.failures += 1
+    over = leaf.failures - settings.eject_after_failures
+    if over < 0:
+        return
+    doublings = min(over, _MAX_EJECTION_DOUBLINGS)
+    ejection_ns = settings.ejection_ms * NS_PER_MS * 2**doublings
+    leaf.ejected_until_ns = now_ns + ejection_ns
+
+
+def apply_status(
+    world: World, leaf: Leaf, status: LeafStatus, now_ns: int
+) -> None:
+    """Applies what a leaf said of itself in a reply to a call."""
+    leaf.queue_length = status.queue_length
+    known = set(leaf.holdings)
+    told = set(status.snapshots)
+    gone = known - told
+    if gone:
+        leaf.holdings = {
+            snapshot: holding
+            for snapshot, holding in leaf.holdings.items()
+            if snapshot in told
+        }
+    changed = _set_state(world, leaf, status.state, now_ns)
+    if gone or changed:
+        _spread(world, leaf)
+    if told - known:
+        probe_soon(world, leaf, now_ns)
+
+
+def probe_soon(world: World, leaf: Leaf, now_ns: int) -> None:
+    """Brings a leaf's next probe forward to this tick."""
+    if not leaf.probing:
+        leaf.probe_due_ns = now_ns
+        world.timers.set(TimerKind.PROBE, leaf.leaf_id, now_ns)
+
+
+def _set_state(world: World, leaf: Leaf, state: LeafState, now_ns: int) -> bool:
+    if leaf.state is LeafState.REMOVED:
+        return False
+    held = leaf.state is LeafState.DRAINING and now_ns < leaf.drain_until_ns
+    if held and state is not LeafState.DRAINING:
+        return False
+    if state is LeafState.DRAINING:
+        hold_ns = world.settings.leaves.drain_hold_ms * NS_PER_MS
+        leaf.drain_until_ns = now_ns + hold_ns
+    if leaf.state is state:
+        return False
+    leaf.state = state
+    world.freed.add(leaf.service)
+    world.leaves.mark(leaf.leaf_id)
+    return True
+
+
+def _spread(world: World, leaf: Leaf) -> None:
+    leaf.version += 1
+    forget_pins(world)
+    rumour = LeafRumour(
+        origin=world.me.incarnation,
+        version=leaf.version,
+        leaf_id=leaf.leaf_id,
+        state=leaf.state,
+        holdings=leaf.holdings,
+    )
+    membership.flood(world, rumour)
+
+
+def forget_pins(world: World) -> None:
+    """Makes the next query choose its snapshot anew."""
+    world.snapshots_version += 1
+    world.pins.clear()
+
+
+class HealthSystem(System):
+    """Keeps the rows of leaves in step with config, probes and rumours."""
+
+    def run(self, world: World, now_ns: int) -> None:
+        if world.config_changed:
+            world.config_changed = False
+            self._sync_leaves(world, now_ns)
+        for rumour in world.inbox.take(LeafRumour):
+            self._apply_rumour(world, rumour, now_ns)
+        for probe in world.inbox.take(ProbeFinished):
+            self._apply_probe(world, probe, now_ns)
+        self._apply_leaving(world, now_ns)
+        for key in world.timers.pop_due(TimerKind.PROBE, now_ns):
+            leaf = world.leaves.get(str(key))
+            if leaf is not None:
+                self._probe(world, leaf, now_ns)
+
+    def _sync_leaves(self, world: World, now_ns: int) -> None:
+        declared: set[str] = set()
+        for spec in world.config.services.values():
+            for leaf_spec in _leaves_of(spec):
+                declared.add(leaf_spec.address)
+                self._sync_leaf(world, spec, leaf_spec, now_ns)
+        for leaf in world.leaves:
+            if leaf.leaf_id not in declared:
+                self._remove(world, leaf)
+        by_service: dict[str, list[Leaf]] = {}
+        for leaf in world.leaves:
+            if leaf.state is not LeafState.REMOVED:
+                by_service.setdefault(leaf.service, []).append(leaf)
+        world.leaves_by_service = by_service
+        forget_pins(world)
+
+    def _sync_leaf(
+        self, world: World, spec: ServiceSpec, leaf_spec: LeafSpec, now_ns: int
+    ) -> None:
+        owners = world.settings.leaves.owners
+        share = max(1, leaf_spec.connection_limit // owners)
+        leaf = world.leaves.get(leaf_spec.address)
+        if leaf is None or leaf.state is LeafState.REMOVED:
+            links.forget_idle(world, leaf)
+            leaf = Leaf(
+                leaf_id=leaf_spec.address,
+                service=spec.name,
+                zone=leaf_spec.zone,
+                slots=leaf_spec.slots,
+                share=share,
+            )
+            world.leaves.put(leaf.leaf_id, leaf)
+            probe_soon(world, leaf, now_ns)
+            return
+        leaf.service = spec.name
+        leaf.zone = leaf_spec.zone
+        leaf.slots = leaf_spec.slots
+        leaf.share = share
+        world.leaves.mark(leaf.leaf_id)
+
+    def _remove(self, world: World, leaf: Leaf) -> None:
+        leaf.state = LeafState.REMOVED
+        world.leaves.mark(leaf.leaf_id)
+
+    def _apply_rumour(
+        self, world: World, rumour: LeafRumour, now_ns: int
+    ) -> None:
+        leaf = world.leaves.get(rumour.leaf_id)
+        seen_key = (rumour.origin, rumour.leaf_id)
+        seen = world.rumour_versions.get(seen_key, 0)
+        if leaf is None or rumour.version <= seen:
+            return
+        world.rumour_versions[seen_key] = rumour.version
+        _set_state(world, leaf, rumour.state, now_ns)
+        leaf.holdings = dict(rumour.holdings)
+        leaf.observed_ns = now_ns
+        forget_pins(world)
+        if len(world.peers) > world.settings.membership.neighbours:
+            membership.flood(world, rumour)
+
+    def _apply_probe(
+        self, world: World, probe: ProbeFinished, now_ns: int
+    ) -> None:
+        links.finish_probe(world, probe, now_ns)
+        leaf = world.leaves.get(probe.leaf_id)
+        if leaf is None:
+            return
+        leaf.probing = False
+        if probe.health is None:
+            record_failure(world, leaf, now_ns)
+            if leaf.failures == 1:
+                probe_soon(world, leaf, now_ns)
+            return
+        self._apply_health(world, leaf, probe.health, now_ns)
+
+    def _apply_health(
+        self, world: World, leaf: Leaf, health: LeafHealth, now_ns: int
+    ) -> None:
+        first = leaf.observed_ns == 0
+        leaf.observed_ns = now_ns
+        leaf.queue_length = health.queue_length
+        changed = leaf.holdings != health.holdings
+        leaf.holdings = health.holdings
+        changed = _set_state(world, leaf, health.state, now_ns) or changed
+        if first:
+            forget_pins(world)
+        elif changed:
+            _spread(world, leaf)
+
+    def _apply_leaving(self, world: World, now_ns: int) -> None:
+        for leaf_id in world.leaving_leaves:
+            leaf = world.leaves.get(leaf_id)
+            if leaf is None:
+                continue
+            if _set_state(world, leaf, LeafState.DRAINING, now_ns):
+                _spread(world, leaf)
+
+    def _probe(self, world: World, leaf: Leaf, now_ns: int) -> None:
+        if leaf.probe_due_ns > now_ns or leaf.state is LeafState.REMOVED:
+            return
+        interval_ns = world.settings.leaves.probe_interval_ms * NS_PER_MS
+        jitter = 0.9 + world.rng.random() / 5
+        leaf.probe_due_ns = now_ns + int(interval_ns * jitter)
+        world.timers.set(TimerKind.PROBE, leaf.leaf_id, leaf.probe_due_ns)
+        stale = now_ns - leaf.observed_ns > 3 * interval_ns
+        if stale or self._is_prober(world, leaf):
+            leaf.probing = links.start_probe(world, leaf, now_ns)
+
+    def _is_prober(self, world: World, leaf: Leaf) -> bool:
+        ids = membership.serving_ids(world)
+        first = rendezvous.ranked(ids, leaf.leaf_id, 1)
+        return not first or first[0] == world.me.node_id
+
+
+def _leaves_of(spec: ServiceSpec) -> list[LeafSpec]:
+    return [leaf for leaves in spec.shards.values() for leaf in leaves]
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/hedging.py
@@ -0,0 +1,47 @@
+"""Hedging: a second call for a slow shard, within a budget of extra load."""
+
+from snipesaddle._internal.systems import links, routing, snapshots
+from snipesaddle._internal.systems.base import System
+from snipesaddle._internal.systems.policies import LeafPolicy
+from snipesaddle._internal.tables.queries import Query, ShardTask, TaskState
+from snipesaddle._internal.tables.timers import TimerKind
+from snipesaddle._internal.tables.world import World
+
+
+class HedgingSystem(System):
+    """Starts the hedges that are due and within budget."""
+
+    def __init__(self, policy: LeafPolicy) -> None:
+        self._policy = policy
+
+    def run(self, world: World, now_ns: int) -> None:
+        for call_id in world.timers.pop_due(TimerKind.HEDGE, now_ns):
+            call = world.calls.get(call_id)  # type: ignore[arg-type]
+            if call is None or call.shard is None:
+                continue
+            query = world.queries.get(call.query_id)
+            task = query.tasks.get(call.shard) if query else None
+            if query and task and task.state is TaskState.RUNNING:
+                self._hedge(world, query, task, now_ns)
+
+    def _hedge(
+        self, world: World, query: Query, task: ShardTask, now_ns: int
+    ) -> None:
+        spec = world.config.services.get(task.key.service)
+        free = [
+            leaf
+            for leaf in snapshots.holders(world, task.key, query.snapshot)
+            if leaf.leaf_id not in task.tried and links.can_carry(leaf)
+        ]
+        if spec is None or task.hedged or not free:
+            return
+        budget = routing.hedge_budget(world, spec)
+        if self._policy.budgeted() and not budget.spend(now_ns):
+            return
+        task.hedged = True
+        world.counters.hedge_calls += 1
+        usable = routing.best_tier(free, now_ns)
+        leaf = self._policy.choose(world, usable, now_ns)
+        routing.start_search_call(
+            world, query, task, leaf, now_ns, is_hedge=True
+        )
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/results.py
@@ -0,0 +1,107 @@
+"""Results: what each ended call means for the shard that it served."""
+
+from snipesaddle._internal.systems import routing, snapshots
+from snipesaddle._internal.systems.base import NS_PER_MS, System
+from snipesaddle._internal.tables.commands import CancelCall
+from snipesaddle._internal.tables.queries import (
+    CallKind,
+    CallResult,
+    FinishedCall,
+    MissingReason,
+    Query,
+    ShardTask,
+    TaskState,
+)
+from snipesaddle._internal.tables.timers import TimerKind
+from snipesaddle._internal.tables.world import World
+
+_MAX_ATTEMPTS = 4
+_BACKOFF_NS = 5 * NS_PER_MS
+
+
+def cancel_calls(world: World, task: ShardTask) -> None:
+    """Cancels the calls of a shard that are in flight."""
+    for call_id in task.calls:
+        if world.calls.remove(call_id) is not None:
+            world.timers.cancel(TimerKind.HEDGE, call_id)
+            world.emit(CancelCall(call_id))
+    task.calls.clear()
+
+
+class ResultsSystem(System):
+    """Merges hits, retries failures and ends shards."""
+
+    def run(self, world: World, now_ns: int) -> None:
+        for finished in world.finished:
+            call = finished.call
+            if call.kind is not CallKind.SEARCH or call.shard is None:
+                continue
+            query = world.queries.get(call.query_id)
+            task = query.tasks.get(call.shard) if query else None
+            if query is None or task is None:
+                continue
+            if call.call_id in task.calls:
+                task.calls.remove(call.call_id)
+                self._apply(world, query, task, finished, now_ns)
+
+    def _apply(
+        self,
+        world: World,
+        query: Query,
+        task: ShardTask,
+        finished: FinishedCall,
+        now_ns: int,
+    ) -> None:
+        world.queries.mark(query.query_id)
+        if finished.result is CallResult.ANSWERED:
+            task.hits = finished.hits
+            task.state = TaskState.DONE
+            query.open_tasks -= 1
+            cancel_calls(world, task)
+            return
+        task.reason = _reason_of(finished)
+        if task.calls:
+            return
+        if self._may_retry(world, query, task, finished, now_ns):
+            return
+        if finished.result is CallResult.SNAPSHOT_GONE:
+            query.snapshot_lost = True
+        routing.mark_missing(world, query, task, task.reason)
+
+    def _may_retry(
+        self,
+        world: World,
+        query: Query,
+        task: ShardTask,
+        finished: FinishedCall,
+        now_ns: int,
+    ) -> bool:
+        spec = world.config.services.get(task.key.service)
+        if spec is None or len(task.tried) >= _MAX_ATTEMPTS:
+            return False
+        leaves = snapshots.holders(world, task.key, query.snapshot)
+        untried = [leaf for leaf in leaves if leaf.leaf_id not in task.tried]
+        gone = finished.result is CallResult.SNAPSHOT_GONE
+        if not leaves or (gone and not untried):
+            return False
+        budget = routing.retry_budget(world, spec)
+        if not gone and not budget.spend(now_ns):
+            return False
+        task.state = TaskState.PENDING
+        need = (query.query_id, task.key)
+        if untried:
+            world.needs.append(need)
+        else:
+            delay_ns = _BACKOFF_NS * 2 ** len(task.tried)
+            world.timers.set(TimerKind.RETRY, need, now_ns + delay_ns)
+        return True
+
+
+def _reason_of(finished: FinishedCall) -> MissingReason:
+    if finished.wrong_snapshot:
+        return MissingReason.WRONG_SNAPSHOT
+    reasons = {
+        CallResult.REFUSED: MissingReason.SHED,
+        CallResult.SNAPSHOT_GONE: MissingReason.SNAPSHOT_GONE,
+    }
+    return reasons.get(finished.result, MissingReason.FAILED)
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/routing.py
@@ -0,0 +1,176 @@
+"""Routing: starts a call for each shard that needs one."""
+
+import heapq
+
+from snipesaddle._internal.systems import links, snapshots
+from snipesaddle._internal.systems.base import System
+from snipesaddle._internal.systems.policies import LeafPolicy, tier
+from snipesaddle._internal.tables.budgets import Budget
+from snipesaddle._internal.tables.commands import SearchCall, StartCall
+from snipesaddle._internal.tables.config import ServiceSpec
+from snipesaddle._internal.tables.leaves import Leaf
+from snipesaddle._internal.tables.queries import (
+    Call,
+    CallKind,
+    MissingReason,
+    Query,
+    ShardTask,
+    TaskState,
+)
+from snipesaddle._internal.tables.timers import TimerKind
+from snipesaddle._internal.tables.world import World
+
+_HEDGE_CAP = 20.0
+_HEDGE_START = 1.0
+_RETRY_RATIO = 0.1
+_RETRY_CAP = 40.0
+_RETRY_START = 20.0
+
+
+def hedge_budget(world: World, spec: ServiceSpec) -> Budget:
+    """Returns the hedge budget of a service's class."""
+    budget = world.hedge_budgets.get(spec.class_name)
+    if budget is None:
+        budget = Budget(spec.hedge_extra_load, _HEDGE_CAP, _HEDGE_START)
+        world.hedge_budgets[spec.class_name] = budget
+    budget.ratio = spec.hedge_extra_load
+    return budget
+
+
+def retry_budget(world: World, spec: ServiceSpec) -> Budget:
+    """Returns the retry budget of a service's class."""
+    budget = world.retry_budgets.get(spec.class_name)
+    if budget is None:
+        budget = Budget(_RETRY_RATIO, _RETRY_CAP, _RETRY_START)
+        world.retry_budgets[spec.class_name] = budget
+    return budget
+
+
+def start_search_call(
+    world: World,
+    query: Query,
+    task: ShardTask,
+    leaf: Leaf,
+    now_ns: int,
+    *,
+    is_hedge: bool,
+) -> int:
+    """Starts a call for one shard on a leaf that has a free link.
+
+    Returns:
+      The id of the call.
+    """
+    link_id = links.take_link(world, leaf)
+    call = Call(
+        call_id=world.next_id(),
+        kind=CallKind.SEARCH,
+        leaf_id=leaf.leaf_id,
+        link_id=link_id,
+        started_ns=now_ns,
+        query_id=query.query_id,
+        snapshot=query.snapshot,
+        shard=task.key,
+        is_hedge=is_hedge,
+    )
+    world.calls.put(call.call_id, call)
+    leaf.in_flight += 1
+    task.calls.append(call.call_id)
+    task.tried.append(leaf.leaf_id)
+    task.state = TaskState.RUNNING
+    remaining_ns = max(1, query.give_up_ns - now_ns)
+    request = SearchCall(
+        call_id=call.call_id,
+        shard=task.key,
+        snapshot=query.snapshot,
+        query=query.request.query,
+        deadline_ms=max(1, remaining_ns // 1_000_000),
+    )
+    world.emit(StartCall(leaf.leaf_id, link_id, request, remaining_ns))
+    return call.call_id
+
+
+class RoutingSystem(System):
+    """Chooses a leaf for each shard, or parks it until a link is free."""
+
+    def __init__(self, policy: LeafPolicy) -> None:
+        self._policy = policy
+
+    def run(self, world: World, now_ns: int) -> None:
+        for key in world.timers.pop_due(TimerKind.RETRY, now_ns):
+            world.needs.append(key)  # type: ignore[arg-type]
+        self._unpark(world)
+        while world.needs:
+            query_id, key = world.needs.popleft()
+            query = world.queries.get(query_id)
+            task = query.tasks.get(key) if query else None
+            if query and task and task.state is TaskState.PENDING:
+                self._route(world, query, task, now_ns)
+
+    def _unpark(self, world: World) -> None:
+        for service in world.freed:
+            parked = world.parked.get(service)
+            room = sum(
+                leaf.share - leaf.open_links + len(leaf.idle_links)
+                for leaf in world.leaves_by_service.get(service, [])
+            )
+            while parked and room > 0:
+                _, _, query_id, key = heapq.heappop(parked)
+                if query_id in world.queries:
+                    world.needs.append((query_id, key))
+                    room -= 1
+        world.freed.clear()
+
+    def _route(
+        self, world: World, query: Query, task: ShardTask, now_ns: int
+    ) -> None:
+        leaves = snapshots.holders(world, task.key, query.snapshot)
+        if not leaves:
+            mark_missing(world, query, task, MissingReason.NO_LEAF)
+            return
+        untried = [leaf for leaf in leaves if leaf.leaf_id not in task.tried]
+        free = [leaf for leaf in untried or leaves if links.can_carry(leaf)]
+        if not free:
+            self._park(world, query, task)
+            return
+        leaf = self._policy.choose(world, best_tier(free, now_ns), now_ns)
+        call_id = start_search_call(
+            world, query, task, leaf, now_ns, is_hedge=False
+        )
+        if len(task.tried) == 1:
+            self._count_primary(world, task, call_id, now_ns)
+        else:
+            world.counters.retry_calls += 1
+
+    def _count_primary(
+        self, world: World, task: ShardTask, call_id: int, now_ns: int
+    ) -> None:
+        spec = world.config.services.get(task.key.service)
+        world.counters.primary_calls += 1
+        if spec is None:
+            return
+        hedge_budget(world, spec).earn()
+        retry_budget(world, spec).earn()
+        delay_ns = self._policy.hedge_delay_ns(world, spec, now_ns)
+        if delay_ns is not None:
+            world.timers.set(TimerKind.HEDGE, call_id, now_ns + delay_ns)
+
+    def _park(self, world: World, query: Query, task: ShardTask) -> None:
+        parked = world.parked.setdefault(task.key.service, [])
+        entry = (query.priority, query.deadline_ns, query.query_id, task.key)
+        heapq.heappush(parked, entry)
+
+
+def best_tier(leaves: list[Leaf], now_ns: int) -> list[Leaf]:
+    """Returns the leaves in the best order that any of them is in."""
+    best = min(tier(leaf, now_ns) for leaf in leaves)
+    return [leaf for leaf in leaves if tier(leaf, now_ns) == best]
+
+
+def mark_missing(
+    world: World, query: Query, task: ShardTask, reason: MissingReason
+) -> None:
+    """Ends a shard without hits."""
+    world.queries.mark(query.query_id)
+    task.state = TaskState.MISSING
+    task.reason = reason
+    query.open_tasks -= 1
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/schedule.py
@@ -0,0 +1,68 @@
+"""The fixed order in which the systems run."""
+
+from snipesaddle._internal.systems.admission import AdmissionSystem
+from snipesaddle._internal.systems.base import System
+from snipesaddle._internal.systems.calls import CallsSystem
+from snipesaddle._internal.systems.config import ConfigSystem
+from snipesaddle._internal.systems.coverage import CoverageSystem
+from snipesaddle._internal.systems.directory import DirectorySystem
+from snipesaddle._internal.systems.drain import DrainSystem
+from snipesaddle._internal.systems.executions import ExecutionsSystem
+from snipesaddle._internal.systems.health import HealthSystem
+from snipesaddle._internal.systems.hedging import HedgingSystem
+from snipesaddle._internal.systems.links import LinksSystem
+from snipesaddle._internal.systems.membership import MembershipSystem
+from snipesaddle._internal.systems.policies import make_policy
+from snipesaddle._internal.systems.relays import RelaysSystem
+from snipesaddle._internal.systems.results import ResultsSystem
+from snipesaddle._internal.systems.routing import RoutingSystem
+from snipesaddle._internal.tables.commands import Command
+from snipesaddle._internal.tables.world import World
+
+_MAX_PASSES = 4
+
+
+class Schedule:
+    """Runs all systems over the tables, in one order."""
+
+    def __init__(self, world: World) -> None:
+        policy = make_policy(world.settings.policy)
+        self._systems: tuple[System, ...] = (
+            MembershipSystem(),
+            ConfigSystem(),
+            CallsSystem(),
+            HealthSystem(),
+            DrainSystem(),
+            RelaysSystem(),
+            ExecutionsSystem(policy),
+            ResultsSystem(),
+            AdmissionSystem(),
+            RoutingSystem(policy),
+            HedgingSystem(policy),
+            CoverageSystem(),
+            LinksSystem(),
+            DirectorySystem(),
+        )
+
+    def start(self, world: World, now_ns: int) -> None:
+        """Lets each system set its first timers."""
+        for system in self._systems:
+            system.start(world, now_ns)
+
+    def tick(self, world: World, now_ns: int) -> list[Command]:
+        """Runs the systems and returns the commands they wrote.
+
+        A second pass follows at once when a late system made work for an
+        earlier one.
+        """
+        world.counters.ticks += 1
+        for _ in range(_MAX_PASSES):
+            for system in self._systems:
+                system.run(world, now_ns)
+            if not self._has_more(world):
+                break
+        commands, world.outbox = world.outbox, []
+        return commands
+
+    def _has_more(self, world: World) -> bool:
+        return bool(world.needs or world.ready_executions or world.freed)
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities as data classes, kept in indexed tables."""
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/latencies.py
@@ -0,0 +1,45 @@
+"""Recent call latencies of a class, for hedge delays."""
+
+from hdrh.histogram import HdrHistogram
+
+_MAX_LATENCY_US = 60_000_000
+_DIGITS = 2
+_WINDOW_NS = 10_000_000_000
+_REFRESH_NS = 100_000_000
+_MIN_SAMPLES = 50
+
+
+class LatencyWindow:
+    """Latencies of the current and the previous window."""
+
+    def __init__(self) -> None:
+        self._current = HdrHistogram(1, _MAX_LATENCY_US, _DIGITS)
+        self._previous = HdrHistogram(1, _MAX_LATENCY_US, _DIGITS)
+        self._window_end_ns = 0
+        self._refresh_ns = 0
+        self._quantiles_ns: dict[float, int] = {}
+
+    def record(self, latency_ns: int, now_ns: int) -> None:
+        """Adds the latency of one call."""
+        if now_ns >= self._window_end_ns:
+            self._current, self._previous = self._previous, self._current
+            self._current.reset()
+            self._window_end_ns = now_ns + _WINDOW_NS
+        self._current.record_value(max(1, latency_ns // 1_000))
+
+    def quantile_ns(self, quantile: float, now_ns: int) -> int | None:
+        """Returns a recent quantile, or None while samples are few."""
+        if now_ns >= self._refresh_ns:
+            self._refresh_ns = now_ns + _REFRESH_NS
+            self._quantiles_ns.clear()
+        cached_ns = self._quantiles_ns.get(quantile)
+        if cached_ns is not None:
+            return cached_ns
+        source = max(
+            (self._current, self._previous), key=lambda h: h.total_count
+        )
+        if source.total_count < _MIN_SAMPLES:
+            return None
+        value_ns = source.get_value_at_percentile(quantile * 100) * 1_000
+        self._quantiles_ns[quantile] = int(value_ns)
+        return int(value_ns)
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -0,0 +1,73 @@
+"""The index of rows by deadline."""
+
+import enum
+import heapq
+import itertools
+from collections.abc import Hashable
+
+
+class TimerKind(enum.Enum):
+    """Which system a timer wakes."""
+
+    QUERY_DEADLINE = enum.auto()
+    HEDGE = enum.auto()
+    RETRY = enum.auto()
+    PROBE = enum.auto()
+    LINK = enum.auto()
+    HEARTBEAT = enum.auto()
+    STORE_WATCH = enum.auto()
+    FETCH = enum.auto()
+    EXECUTION_DEADLINE = enum.auto()
+    EXECUTION_EXPIRY = enum.auto()
+    RELAY = enum.auto()
+    DRAIN = enum.auto()
+
+
+class Timers:
+    """Due times by kind; a tick costs only the timers that are due.
+
+    Each key has at most one timer of a kind; setting it again moves it.
+    """
+
+    def __init__(self) -> None:
+        self._order = itertools.count()
+        self._due: dict[TimerKind, dict[Hashable, int]] = {
+            kind: {} for kind in TimerKind
+        }
+        self._heaps: dict[TimerKind, list[tuple[int, int, Hashable]]] = {
+            kind: [] for kind in TimerKind
+        }
+
+    def set(self, kind: TimerKind, key: Hashable, due_ns: int) -> None:
+        """Sets, or moves, the timer of a key."""
+        self._due[kind][key] = due_ns
+        entry = (due_ns, next(self._order), key)
+        heapq.heappush(self._heaps[kind], entry)
+
+    def cancel(self, kind: TimerKind, key: Hashable) -> None:
+        """Removes the timer of a key, if there is one."""
+        self._due[kind].pop(key, None)
+
+    def pop_due(self, kind: TimerKind, now_ns: int) -> list[Hashable]:
+        """Removes and returns the keys of one kind that are due."""
+        heap = self._heaps[kind]
+        due_by_key = self._due[kind]
+        due: list[Hashable] = []
+        while heap and heap[0][0] <= now_ns:
+            due_ns, _, key = heapq.heappop(heap)
+            if due_by_key.get(key) == due_ns:
+                del due_by_key[key]
+                due.append(key)
+        return due
+
+    def next_due_ns(self) -> int | None:
+        """Returns the earliest due time of all kinds, or None."""
+        heads = (self._head_ns(kind) for kind in TimerKind)
+        return min((head for head in heads if head is not None), default=None)
+
+    def _head_ns(self, kind: TimerKind) -> int | None:
+        heap = self._heaps[kind]
+        due_by_key = self._due[kind]
+        while heap and due_by_key.get(heap[0][2]) != heap[0][0]:
+            heapq.heappop(heap)
+        return heap[0][0] if heap else None
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -0,0 +1,120 @@
+"""All tables of one entry node."""
+
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from snipesaddle._internal.models.settings import Settings
+from snipesaddle._internal.tables.budgets import Budget
+from snipesaddle._internal.tables.commands import Command
+from snipesaddle._internal.tables.config import Config
+from snipesaddle._internal.tables.executions import Execution, Relay
+from snipesaddle._internal.tables.inbox import Inbox
+from snipesaddle._internal.tables.latencies import LatencyWindow
+from snipesaddle._internal.tables.leaves import Leaf, Link
+from snipesaddle._internal.tables.nodes import Peer, Self
+from snipesaddle._internal.tables.queries import (
+    Call,
+    FinishedCall,
+    Query,
+    ShardKey,
+)
+from snipesaddle._internal.tables.table import Table
+from snipesaddle._internal.tables.timers import Timers
+
+
+@dataclass(slots=True)
+class Counters:
+    """Counts since the start of the process."""
+
+    primary_calls: int = 0
+    hedge_calls: int = 0
+    retry_calls: int = 0
+    sheds: int = 0
+    crossed_replies: int = 0
+    wrong_snapshots: int = 0
+    refused: int = 0
+    claims: int = 0
+    ticks: int = 0
+    peer_messages_sent: int = 0
+
+
+@dataclass(slots=True)
+class World:
+    """The tables that the systems run over.
+
+    Attributes:
+      needs: shards that wait for a call to be started.
+      parked: shards that wait for a free link, by service.
+      finished: calls that ended in this tick.
+      pins: the snapshot chosen for a set of services, until one changes.
+      config_changed: a generation came into force in this tick.
+      freed: services with a link that came free in this tick.
+      joined: peers whose incarnation is new in this tick.
+      accepted_spaces: key spaces ever taken over from a leaving node.
+      ready_executions: executions to start in this tick.
+      waiting_executions: executions that wait for a free link, by service.
+      spaces: incarnations whose execution keys this node owns.
+      heirs: who took over the key space of an incarnation that left.
+      snapshots_version: grows when any leaf's holdings or state change.
+    """
+
+    settings: Settings
+    me: Self
+    rng: random.Random
+    inbox: Inbox = field(default_factory=Inbox)
+    outbox: list[Command] = field(default_factory=list)
+    timers: Timers = field(default_factory=Timers)
+    config: Config = field(default_factory=Config)
+    peers: Table[str, Peer] = field(default_factory=Table)
+    leaves: Table[str, Leaf] = field(default_factory=Table)
+    links: Table[int, Link] = field(default_factory=Table)
+    leaves_by_service: dict[str, list[Leaf]] = field(default_factory=dict)
+    queries: Table[int, Query] = field(default_factory=Table)
+    query_ids: dict[str, int] = field(default_factory=dict)
+    calls: Table[int, Call] = field(default_factory=Table)
+    needs: deque[tuple[int, ShardKey]] = field(default_factory=deque)
+    parked: dict[str, list[tuple[int, int, int, ShardKey]]] = field(
+        default_factory=dict
+    )
+    executions: Table[str, Execution] = field(default_factory=Table)
+    relays: Table[str, Relay] = field(default_factory=Table)
+    spaces: set[str] = field(default_factory=set)
+    heirs: dict[str, str] = field(default_factory=dict)
+    hedge_budgets: dict[str, Budget] = field(default_factory=dict)
+    retry_budgets: dict[str, Budget] = field(default_factory=dict)
+    latencies: dict[str, LatencyWindow] = field(default_factory=dict)
+    finished: list[FinishedCall] = field(default_factory=list)
+    rumour_versions: dict[tuple[str, str], int] = field(default_factory=dict)
+    leaving_leaves: frozenset[str] = frozenset()
+    pins: dict[tuple[str, ...], int] = field(default_factory=dict)
+    opening_links: int = 0
+    config_changed: bool = False
+    joined: list[str] = field(default_factory=list)
+    accepted_spaces: set[str] = field(default_factory=set)
+    ready_executions: list[str] = field(default_factory=list)
+    running_executions: set[str] = field(default_factory=set)
+    waiting_executions: dict[str, list[str]] = field(default_factory=dict)
+    refused_heirs: set[str] = field(default_factory=set)
+    freed: set[str] = field(default_factory=set)
+    counters: Counters = field(default_factory=Counters)
+    snapshots_version: int = 0
+    ids: "itertools.count[int]" = field(
+        default_factory=lambda: itertools.count(1)
+    )
+
+    def emit(self, command: Command) -> None:
+        """Adds a command for the adapters."""
+        self.outbox.append(command)
+
+    def next_id(self) -> int:
+        """Returns a number not used before in this process."""
+        return next(self.ids)
+
+    def latency_window(self, class_name: str) -> LatencyWindow:
+        """Returns the recent latencies of a class."""
+        window = self.latencies.get(class_name)
+        if window is None:
+            window = self.latencies[class_name] = LatencyWindow()
+        return window
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of what lies outside the system."""
