Find the heir of a key space by asking, and reconnect peers at once

Cause: after a rolling restart a new node could be asked for a ticket whose owner had left before it started, and answered 'unknown' while the heir was alive; and sockets to a restarted peer backed off for up to a second, as long as a relay waits. Change: a relay waits its full time and asks its neighbours for the heir; reconnects come every 100 ms.

--- a/src/snipesaddle/_internal/adapters/zmq_peer.py
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -11,8 +11,8 @@
 from snipesaddle._internal.tables.messages import PeerMessage
 
 _SEND_QUEUE = 1_000
-_RECONNECT_MIN_MS = 50
-_RECONNECT_MAX_MS = 1_000
+# Constant: a growing delay kept a restarted peer unreachable for a second.
+_RECONNECT_MS = 100
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 _MESSAGE_TYPES: dict[bytes, type[Any]] = {
@@ -75,8 +75,7 @@
             socket = self._context.socket(zmq.PUSH)
             socket.setsockopt(zmq.IMMEDIATE, 1)
             socket.setsockopt(zmq.SNDHWM, _SEND_QUEUE)
-            socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MIN_MS)
-            socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
             socket.connect(f"tcp://{peer_address}")
             self._push[peer_address] = socket
         return socket
--- a/src/snipesaddle/_internal/systems/relays.py
+++ b/src/snipesaddle/_internal/systems/relays.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from snipesaddle._internal.systems import tickets
+from snipesaddle._internal.systems import membership, tickets
 from snipesaddle._internal.systems.base import NS_PER_MS, System
 from snipesaddle._internal.tables.commands import AnswerExecution, SendPeer
 from snipesaddle._internal.tables.executions import (
@@ -12,16 +12,18 @@
     Relay,
 )
 from snipesaddle._internal.tables.messages import (
+    HeirRequest,
     HeirRumour,
     NotOwner,
     RelayedAnswer,
     RelayedExecution,
 )
-from snipesaddle._internal.tables.nodes import Peer
+from snipesaddle._internal.tables.nodes import DrainPhase, Peer
 from snipesaddle._internal.tables.timers import TimerKind
 from snipesaddle._internal.tables.world import World
 
 _RESEND_NS = 100 * NS_PER_MS
+_MAX_ASKED = 10_000
 _GONE = "the node that owns the key is gone or does not answer"
 
 
@@ -61,10 +63,9 @@
     request = relay.request
     target = current_owner(world, relay.owner)
     peer = _find_peer(world, target)
-    if peer is None and _is_replaced(world, target):
-        _give_up(world, request.request_id)
-        return
-    if peer is not None:
+    if peer is None:
+        _ask_for_heir(world, target, now_ns)
+    else:
         passed = dataclasses.replace(
             request, reply_to=world.me.peer_address, owner=relay.owner
         )
@@ -80,9 +81,14 @@
     return peer
 
 
-def _is_replaced(world: World, incarnation: str) -> bool:
-    peer = world.peers.get(tickets.node_of(incarnation))
-    return peer is not None and peer.incarnation > incarnation
+def _ask_for_heir(world: World, space: str, now_ns: int) -> None:
+    asked_ns = world.heir_asked_ns.get(space)
+    if asked_ns is not None and now_ns - asked_ns < _RESEND_NS:
+        return
+    if len(world.heir_asked_ns) >= _MAX_ASKED:
+        world.heir_asked_ns.clear()
+    world.heir_asked_ns[space] = now_ns
+    membership.flood(world, HeirRequest(space, world.me.peer_address))
 
 
 def _give_up(world: World, request_id: str) -> None:
@@ -95,6 +101,8 @@
     """Resends relayed executions and passes their answers back."""
 
     def run(self, world: World, now_ns: int) -> None:
+        for question in world.inbox.take(HeirRequest):
+            self._answer_heir(world, question)
         for rumour in world.inbox.take(HeirRumour):
             self._learn_heir(world, rumour)
         for refused in world.inbox.take(NotOwner):
@@ -120,6 +128,15 @@
             if space not in world.spaces:
                 world.heirs[space] = rumour.heir
 
+    def _answer_heir(self, world: World, question: HeirRequest) -> None:
+        space = question.space
+        heir = current_owner(world, space)
+        if space in world.spaces and world.me.phase is DrainPhase.NONE:
+            heir = world.me.incarnation
+        if heir != space:
+            rumour = HeirRumour((space,), heir)
+            world.emit(SendPeer(question.reply_address, rumour))
+
     def _apply_refusal(
         self, world: World, refused: NotOwner, now_ns: int
     ) -> None:
@@ -127,7 +144,6 @@
         if relay is None:
             return
         if not refused.heir:
-            _give_up(world, refused.request_id)
             return
         world.heirs[current_owner(world, relay.owner)] = refused.heir
         _try_send(world, relay, now_ns)
--- a/src/snipesaddle/_internal/tables/messages.py
+++ b/src/snipesaddle/_internal/tables/messages.py
@@ -138,6 +138,14 @@
     accepted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class HeirRequest:
+    """Asks who took over the key space of an incarnation."""
+
+    space: str
+    reply_address: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeirRumour:
     """Tells who took over the key spaces of an incarnation that left."""
@@ -157,5 +165,6 @@
     | NotOwner
     | Handover
     | HandoverReply
+    | HeirRequest
     | HeirRumour
 )
