--- a/bench/call.py
+++ b/bench/call.py
@@ -20,7 +20,7 @@
 _CALLS = 400
 _TURNS = 5
 _BODY = (
-    b'{"call_id":1,"shard":"s0","snapshot":1,"query":"q","deadline_ms":1000}'
+    b'{"call_id":"1","shard":"s0","snapshot":1,"query":"q","deadline_ms":1000}'
 )
 _GROUP = Group("lookup", "druva", "search", 1, 1, 4, 25, 0)
 
--- a/src/snipesaddle/_internal/adapters/http_leaf.py
+++ b/src/snipesaddle/_internal/adapters/http_leaf.py
@@ -24,14 +24,23 @@
 _OK = 200
 _CONFLICT = 409
 _UNAVAILABLE = 503
+# No call has this id.
+_FOREIGN_ID = 0
 
 Connect = Callable[[str], HttpConnection]
 
 
 class HttpLeafTransport(LeafTransport):
-    """Calls leaves; each link is one HTTP connection."""
+    """Calls leaves; each link is one HTTP connection.
 
-    def __init__(self, connect: Connect = HttpConnection) -> None:
+    On the wire, the id of a call starts with the incarnation: a leaf serves
+    several nodes, and each of them numbers its calls from 1.
+    """
+
+    def __init__(
+        self, incarnation: str, connect: Connect = HttpConnection
+    ) -> None:
+        self._prefix = f"{incarnation}."
         self._connect = connect
         self._links: dict[int, HttpConnection] = {}
         self._encode = msgspec.json.Encoder().encode
@@ -90,13 +99,14 @@
     def _encode_request(
         self, request: SearchCall | ExecuteCall
     ) -> tuple[str, bytes]:
+        wire_id = f"{self._prefix}{request.call_id}"
         if isinstance(request, ExecuteCall):
             body = ExecuteBody(
-                request.call_id, request.key, request.body, request.deadline_ms
+                wire_id, request.key, request.body, request.deadline_ms
             )
             return "/v1/execute", self._encode(body)
         search = SearchBody(
-            request.call_id,
+            wire_id,
             request.shard.shard,
             request.snapshot,
             request.query,
@@ -113,7 +123,7 @@
             leaf_id=leaf_id,
             link_id=link_id,
             result=_result_of(reply.status, body),
-            reply_id=body.call_id,
+            reply_id=self._read_id(body.call_id),
             reply_shard=body.shard,
             reply_snapshot=body.snapshot,
             hits=body.hits,
@@ -122,6 +132,11 @@
             detail=body.error,
         )
 
+    def _read_id(self, wire_id: str) -> int:
+        number = wire_id.removeprefix(self._prefix)
+        is_own = number != wire_id and number.isdigit()
+        return int(number) if is_own else _FOREIGN_ID
+
 
 def _result_of(status: int, body: ReplyBody) -> CallResult:
     if status == _OK:
--- a/src/snipesaddle/_internal/adapters/leaf_messages.py
+++ b/src/snipesaddle/_internal/adapters/leaf_messages.py
@@ -13,9 +13,9 @@
 
 
 class SearchBody(msgspec.Struct):
-    """The body of a search call."""
+    """The body of a search call; its id is unique among all nodes."""
 
-    call_id: int
+    call_id: str
     shard: str
     snapshot: int
     query: Any
@@ -23,9 +23,9 @@
 
 
 class ExecuteBody(msgspec.Struct):
-    """The body of an execute call."""
+    """The body of an execute call; its id is unique among all nodes."""
 
-    call_id: int
+    call_id: str
     key: str
     body: Any
     deadline_ms: int
@@ -34,7 +34,7 @@
 class ReplyBody(msgspec.Struct):
     """The reply to a call, answered or refused."""
 
-    call_id: int = 0
+    call_id: str = ""
     shard: str = ""
     snapshot: int = 0
     hits: list[Any] = []
--- a/src/snipesaddle/_internal/daemon/node.py
+++ b/src/snipesaddle/_internal/daemon/node.py
@@ -73,11 +73,13 @@
         self._tasks.start_soon(self._ports.peers.receive, self._world.inbox.put)
 
 
-async def open_ports(settings: Settings, stack: AsyncExitStack) -> Ports:
+async def open_ports(
+    settings: Settings, incarnation: str, stack: AsyncExitStack
+) -> Ports:
     """Opens the adapters; the exit stack closes them."""
     store = HttpStore(settings.platform)
     stack.push_async_callback(store.aclose)
-    leaves = HttpLeafTransport()
+    leaves = HttpLeafTransport(incarnation)
     stack.push_async_callback(leaves.aclose)
     vm_list = HttpVmList(settings.platform)
     stack.push_async_callback(vm_list.aclose)
@@ -95,9 +97,9 @@
 async def run_node(settings: Settings) -> None:
     """Runs an entry node until it has drained."""
     async with AsyncExitStack() as stack:
-        ports = await open_ports(settings, stack)
-        tasks = await stack.enter_async_context(anyio.create_task_group())
         incarnation = new_incarnation(settings.node.name)
+        ports = await open_ports(settings, incarnation, stack)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
         world = build_world(settings, clock.now_ns(), incarnation)
         node = Node(world, ports, tasks)
         tasks.start_soon(server.watch_signals, world)
--- a/src/snipesaddle/_internal/tables/queries.py
+++ b/src/snipesaddle/_internal/tables/queries.py
@@ -16,7 +16,7 @@
     SNAPSHOT_GONE = "snapshot_gone"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class ShardKey:
     """Names a shard of a service."""
 
--- a/tests/standins/callers.py
+++ b/tests/standins/callers.py
@@ -212,6 +212,9 @@
         at_s: float,
         latency_ms: float,
     ) -> None:
+        if not reply.content:
+            _count(result, f"empty:{reply.status}")
+            return
         answer = msgspec.json.decode(reply.content)
         kind = answer.get("type", "").rpartition(":")[2]
         _count(result, kind or str(reply.status))
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -122,6 +122,9 @@
         return self
 
     def __exit__(self, *exc: object) -> None:
+        if exc[0] is not None:
+            for path in sorted(self.folder.glob("*.log")):
+                print(path.name, path.read_text()[-9_000:])
         self._stack.close()
 
     # -- start-up ---------------------------------------------------------
