--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -335,11 +335,12 @@
 
     # -- asking -----------------------------------------------------------
 
-    def status(self, name: str) -> dict[str, Any] | None:
+    def status(
+        self, name: str, timeout_s: float = 2.0
+    ) -> dict[str, Any] | None:
+        url = f"http://{self.nodes[name].address}/v1/status"
         try:
-            reply = self.http.get(
-                f"http://{self.nodes[name].address}/v1/status", timeout=2.0
-            )
+            reply = self.http.get(url, timeout=timeout_s)
         except httpx.HTTPError:
             return None
         status: dict[str, Any] = reply.json()
