Hedge only the last shards of a query, and let slow leaves look slow

Causes, one by one from counters and rows of one leaf at a time: - Hedges went to calls whose whole query was slow: at the 95th percentile the 5% budget was spent before a straggler came. Now a hedge waits until a fifth of the shards, at the most, are open. - A slow leaf lost every race, its calls were cancelled, and a cancelled call left no latency: it never looked slow. Now the time a loser took counts. - A leaf without an idle link ranked below a ten times slower one; the set-up is now a cost in time. - A call that was never sent took a token of the retry budget; with half of the leaves gone a tenth of the answers were incomplete. - Admission was a fixed number; it now follows the lag of the event loop.

--- a/src/snipesaddle/_internal/daemon/loop.py
+++ b/src/snipesaddle/_internal/daemon/loop.py
@@ -18,17 +18,23 @@
         self._schedule = schedule
         self._dispatcher = dispatcher
         self._wake = anyio.Event()
+        self._woken_ns = 0
         world.inbox.on_event(self._on_event)
 
     def _on_event(self) -> None:
-        self._wake.set()
+        if not self._wake.is_set():
+            self._woken_ns = clock.now_ns()
+            self._wake.set()
 
     async def run(self) -> None:
         """Ticks until cancelled."""
         self._schedule.start(self._world, clock.now_ns())
         while True:
+            now_ns = clock.now_ns()
+            if self._wake.is_set():
+                self._note_lag(now_ns - self._woken_ns)
             self._wake = anyio.Event()
-            commands = self._schedule.tick(self._world, clock.now_ns())
+            commands = self._schedule.tick(self._world, now_ns)
             for command in commands:
                 self._dispatcher.dispatch(command)
             if self._world.inbox.is_empty():
@@ -36,6 +42,10 @@
             else:
                 await anyio.lowlevel.checkpoint()
 
+    def _note_lag(self, lag_ns: int) -> None:
+        load = self._world.load
+        load.most_lag_ns = max(load.most_lag_ns, lag_ns)
+
     async def _sleep(self) -> None:
         due_ns = self._world.timers.next_due_ns()
         if due_ns is None:
--- a/src/snipesaddle/_internal/status.py
+++ b/src/snipesaddle/_internal/status.py
@@ -46,7 +46,10 @@
 
 def metrics_of(world: World) -> dict[str, Any]:
     """Returns the counters of this node."""
-    return {"counters": dataclasses.asdict(world.counters)}
+    return {
+        "counters": dataclasses.asdict(world.counters),
+        "query_limit": round(world.load.query_limit, 1),
+    }
 
 
 def _age_ms(since_ns: int, now_ns: int) -> int | None:
--- a/src/snipesaddle/_internal/systems/admission.py
+++ b/src/snipesaddle/_internal/systems/admission.py
@@ -19,18 +19,32 @@
 _RETRY_AFTER_MS = 200
 # Each step of priority halves the distance to the full limit less.
 _SHARE_STEP = 0.5
+_ADJUST_NS = 50 * NS_PER_MS
+_DECREASE = 0.9
+_INCREASE = 0.5
 
 
 def query_limit(world: World, priority: int) -> int:
     """Returns how many queries may be open for one more to be taken on."""
-    limit = world.settings.admission.max_queries
+    limit = world.load.query_limit
     return max(1, int(limit / (1 + _SHARE_STEP * priority)))
 
 
 class AdmissionSystem(System):
-    """Turns arrived searches into queries with their shards."""
+    """Turns arrived searches into queries with their shards.
+
+    The limit falls by a factor while the event loop runs late and grows by
+    steps otherwise (additive increase, multiplicative decrease: Chiu and
+    Jain, 1989). Lower classes have a smaller part of it, so that they are
+    refused first.
+    """
+
+    def start(self, world: World, now_ns: int) -> None:
+        world.load.query_limit = float(world.settings.admission.max_queries)
+        world.load.adjusted_ns = now_ns
 
     def run(self, world: World, now_ns: int) -> None:
+        self._adjust(world, now_ns)
         arrived = world.inbox.take(SearchArrived)
         admitted = [
             (specs[0].priority, event.request, specs)
@@ -41,6 +55,21 @@
         for _, request, specs in admitted:
             self._admit(world, request, specs, now_ns)
 
+    def _adjust(self, world: World, now_ns: int) -> None:
+        load = world.load
+        if now_ns - load.adjusted_ns < _ADJUST_NS:
+            return
+        load.adjusted_ns = now_ns
+        settings = world.settings.admission
+        if load.most_lag_ns > settings.max_lag_ms * NS_PER_MS:
+            open_now = max(len(world.queries), settings.min_queries)
+            lower = min(load.query_limit, open_now) * _DECREASE
+            load.query_limit = max(lower, settings.min_queries)
+        else:
+            higher = load.query_limit + _INCREASE
+            load.query_limit = min(higher, settings.max_queries)
+        load.most_lag_ns = 0
+
     def _resolve(
         self, world: World, request: SearchRequest
     ) -> list[ServiceSpec]:
--- a/src/snipesaddle/_internal/systems/calls.py
+++ b/src/snipesaddle/_internal/systems/calls.py
@@ -78,13 +78,14 @@
         if finished.result is CallResult.ANSWERED:
             latency_ns = now_ns - call.started_ns
             health.record_success(leaf)
-            health.record_latency(leaf, latency_ns)
+            health.record_latency(leaf, latency_ns, now_ns)
             _record_class_latency(world, leaf, latency_ns, now_ns)
         elif finished.result is CallResult.REFUSED:
             world.counters.sheds += 1
             _pause_hedges(world, leaf, now_ns)
         elif finished.result is not CallResult.SNAPSHOT_GONE:
-            health.record_failure(world, leaf, now_ns)
+            unreachable = finished.result is CallResult.NOT_SENT
+            health.record_failure(world, leaf, now_ns, unreachable=unreachable)
 
 
 def _is_reply_to(call: Call, event: CallFinished) -> bool:
--- a/src/snipesaddle/_internal/systems/coverage.py
+++ b/src/snipesaddle/_internal/systems/coverage.py
@@ -28,7 +28,7 @@
         for gone in world.inbox.take(CallerGone):
             query_id = world.query_ids.get(gone.request_id)
             if query_id is not None:
-                self._end(world, world.queries[query_id])
+                self._end(world, world.queries[query_id], now_ns)
         for key in world.timers.pop_due(TimerKind.QUERY_DEADLINE, now_ns):
             query = world.queries.get(key)  # type: ignore[arg-type]
             if query is not None:
@@ -72,11 +72,11 @@
         latency_ns = now_ns - query.arrived_ns
         tenant = query.request.tenant
         world.emit(AnswerSearch(answer, query.class_name, tenant, latency_ns))
-        self._end(world, query)
+        self._end(world, query, now_ns)
 
-    def _end(self, world: World, query: Query) -> None:
+    def _end(self, world: World, query: Query, now_ns: int) -> None:
         for task in query.tasks.values():
-            results.cancel_calls(world, task)
+            results.cancel_calls(world, task, now_ns)
         world.queries.remove(query.query_id)
         world.timers.cancel(TimerKind.QUERY_DEADLINE, query.query_id)
         world.query_ids.pop(query.request.request_id, None)
--- a/src/snipesaddle/_internal/systems/health.py
+++ b/src/snipesaddle/_internal/systems/health.py
@@ -14,18 +14,23 @@
 from snipesaddle._internal.tables.world import World
 
 _LATENCY_WEIGHT = 0.2
+_LATENCY_WEIGHT_UP = 0.4
 _MAX_EJECTION_DOUBLINGS = 5
 _PROBE_RETRY_NS = 50 * NS_PER_MS
 # A leaf that replied within this share of the interval needs no probe.
 _QUIET_SHARE = 0.5
 
 
-def record_latency(leaf: Leaf, latency_ns: int) -> None:
+def record_latency(leaf: Leaf, latency_ns: int, now_ns: int) -> None:
     """Updates the moving average of a leaf's latency."""
+    leaf.latency_at_ns = now_ns
     if leaf.latency_ns == 0:
         leaf.latency_ns = latency_ns
         return
-    leaf.latency_ns += _LATENCY_WEIGHT * (latency_ns - leaf.latency_ns)
+    weight = _LATENCY_WEIGHT
+    if latency_ns > leaf.latency_ns:
+        weight = _LATENCY_WEIGHT_UP
+    leaf.latency_ns += weight * (latency_ns - leaf.latency_ns)
 
 
 def record_success(leaf: Leaf) -> None:
@@ -34,10 +39,17 @@
     leaf.ejected_until_ns = 0
 
 
-def record_failure(world: World, leaf: Leaf, now_ns: int) -> None:
-    """Counts a failure; a row of them ejects the leaf for a while."""
+def record_failure(
+    world: World, leaf: Leaf, now_ns: int, *, unreachable: bool = False
+) -> None:
+    """Counts a failure; a row of them ejects the leaf for a while.
+
+    A leaf that could not be connected to is ejected at once.
+    """
     settings = world.settings.leaves
     leaf.failures += 1
+    if unreachable:
+        leaf.failures = max(leaf.failures, settings.eject_after_failures)
     over = leaf.failures - settings.eject_after_failures
     if over < 0:
         return
--- a/src/snipesaddle/_internal/systems/hedging.py
+++ b/src/snipesaddle/_internal/systems/hedging.py
@@ -1,12 +1,25 @@
 """Hedging: a second call for a slow shard, within a budget of extra load."""
 
 from snipesaddle._internal.systems import links, routing, snapshots
-from snipesaddle._internal.systems.base import System
+from snipesaddle._internal.systems.base import NS_PER_MS, System
 from snipesaddle._internal.systems.policies import LeafPolicy
 from snipesaddle._internal.tables.queries import Query, ShardTask, TaskState
 from snipesaddle._internal.tables.timers import TimerKind
 from snipesaddle._internal.tables.world import World
 
+_LAGGARD_SHARE = 0.2
+_RECHECK_NS = 2 * NS_PER_MS
+
+
+def is_laggard(query: Query) -> bool:
+    """Tells whether only a few shards of a query are still open.
+
+    While most are, the slowness is common to them (the network, this node),
+    and a hedge would only add to it.
+    """
+    few = max(1, int(len(query.tasks) * _LAGGARD_SHARE))
+    return query.open_tasks <= few
+
 
 class HedgingSystem(System):
     """Starts the hedges that are due and within budget."""
@@ -21,8 +34,13 @@
                 continue
             query = world.queries.get(call.query_id)
             task = query.tasks.get(call.shard) if query else None
-            if query and task and task.state is TaskState.RUNNING:
+            if not query or not task or task.state is not TaskState.RUNNING:
+                continue
+            if is_laggard(query):
                 self._hedge(world, query, task, now_ns)
+            else:
+                due_ns = now_ns + _RECHECK_NS
+                world.timers.set(TimerKind.HEDGE, call_id, due_ns)
 
     def _hedge(
         self, world: World, query: Query, task: ShardTask, now_ns: int
--- a/src/snipesaddle/_internal/systems/policies.py
+++ b/src/snipesaddle/_internal/systems/policies.py
@@ -12,6 +12,10 @@
 _DELAY_OVER_MEDIAN_MIN = 1.5
 _DELAY_OVER_MEDIAN_MAX = 3.0
 _UNKNOWN_LATENCY_NS = 5 * NS_PER_MS
+_LATENCY_HALF_LIFE_NS = 2_000 * NS_PER_MS
+_SET_UP_NS = 6 * NS_PER_MS
+# Parts leaves of equal cost, so that nodes do not all choose the same one.
+_JITTER = 0.1
 
 
 class LeafPolicy(abc.ABC):
@@ -105,12 +109,11 @@
         bounded_ns = min(max(delay_ns, low_ns), high_ns)
         return max(bounded_ns, _MIN_HEDGE_DELAY_NS)
 
-    def _cost(self, world: World, leaf: Leaf, now_ns: int) -> tuple[int, float]:
-        latency_ns = leaf.latency_ns or _UNKNOWN_LATENCY_NS
-        load = 1 + leaf.in_flight / leaf.slots
-        load += leaf.queue_length / leaf.slots
-        cold = 0 if leaf.idle_links else 1
-        return tier(leaf, now_ns) + cold, latency_ns * load + _jitter(world)
+    def _cost(self, world: World, leaf: Leaf, now_ns: int) -> float:
+        load = 1 + (leaf.in_flight + leaf.queue_length) / leaf.slots
+        set_up_ns = 0 if leaf.idle_links else _SET_UP_NS
+        cost_ns = _remembered_latency_ns(leaf, now_ns) * load + set_up_ns
+        return cost_ns * (1 + _JITTER * world.rng.random())
 
 
 def tier(leaf: Leaf, now_ns: int) -> int:
@@ -123,8 +126,13 @@
     return 0
 
 
-def _jitter(world: World) -> float:
-    return world.rng.random()
+def _remembered_latency_ns(leaf: Leaf, now_ns: int) -> float:
+    # An old slow reading fades, so that a leaf which recovered is tried.
+    if leaf.latency_ns == 0:
+        return _UNKNOWN_LATENCY_NS
+    age_ns = now_ns - leaf.latency_at_ns
+    faded_ns: float = leaf.latency_ns * 0.5 ** (age_ns / _LATENCY_HALF_LIFE_NS)
+    return max(faded_ns, _UNKNOWN_LATENCY_NS)
 
 
 def make_policy(name: str) -> LeafPolicy:
--- a/src/snipesaddle/_internal/systems/results.py
+++ b/src/snipesaddle/_internal/systems/results.py
@@ -1,6 +1,6 @@
 """Results: what each ended call means for the shard that it served."""
 
-from snipesaddle._internal.systems import routing, snapshots
+from snipesaddle._internal.systems import health, routing, snapshots
 from snipesaddle._internal.systems.base import NS_PER_MS, System
 from snipesaddle._internal.tables.commands import CancelCall
 from snipesaddle._internal.tables.queries import (
@@ -19,12 +19,22 @@
 _BACKOFF_NS = 5 * NS_PER_MS
 
 
-def cancel_calls(world: World, task: ShardTask) -> None:
-    """Cancels the calls of a shard that are in flight."""
+def cancel_calls(world: World, task: ShardTask, now_ns: int) -> None:
+    """Cancels the calls of a shard that are in flight.
+
+    The time that a loser took so far counts as its leaf's latency, or a slow
+    leaf whose calls all lose would never look slow.
+    """
     for call_id in task.calls:
-        if world.calls.remove(call_id) is not None:
-            world.timers.cancel(TimerKind.HEDGE, call_id)
-            world.emit(CancelCall(call_id))
+        call = world.calls.remove(call_id)
+        if call is None:
+            continue
+        world.timers.cancel(TimerKind.HEDGE, call_id)
+        world.emit(CancelCall(call_id))
+        leaf = world.leaves.get(call.leaf_id)
+        elapsed_ns = now_ns - call.started_ns
+        if leaf is not None and elapsed_ns > leaf.latency_ns:
+            health.record_latency(leaf, elapsed_ns, now_ns)
     task.calls.clear()
 
 
@@ -57,7 +67,7 @@
             task.hits = finished.hits
             task.state = TaskState.DONE
             query.open_tasks -= 1
-            cancel_calls(world, task)
+            cancel_calls(world, task, now_ns)
             return
         task.reason = _reason_of(finished)
         if task.calls:
@@ -84,8 +94,9 @@
         gone = finished.result is CallResult.SNAPSHOT_GONE
         if not leaves or (gone and not untried):
             return False
+        unsent = finished.result is CallResult.NOT_SENT and bool(untried)
         budget = routing.retry_budget(world, spec)
-        if not gone and not budget.spend(now_ns):
+        if not gone and not unsent and not budget.spend(now_ns):
             return False
         task.state = TaskState.PENDING
         need = (query.query_id, task.key)
--- a/src/snipesaddle/_internal/systems/routing.py
+++ b/src/snipesaddle/_internal/systems/routing.py
@@ -20,9 +20,9 @@
 from snipesaddle._internal.tables.timers import TimerKind
 from snipesaddle._internal.tables.world import World
 
-_HEDGE_CAP = 20.0
-_HEDGE_START = 1.0
-_RETRY_RATIO = 0.1
+_HEDGE_CAP = 10.0
+_HEDGE_START = 0.0
+_RETRY_RATIO = 0.2
 _RETRY_CAP = 40.0
 _RETRY_START = 20.0
 
--- a/src/snipesaddle/_internal/tables/leaves.py
+++ b/src/snipesaddle/_internal/tables/leaves.py
@@ -50,6 +50,7 @@
     in_flight: int = 0
     queue_length: int = 0
     latency_ns: float = 0.0
+    latency_at_ns: int = 0
     failures: int = 0
     ejected_until_ns: int = 0
     drain_until_ns: int = 0
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -40,6 +40,20 @@
     peer_messages_sent: int = 0
 
 
+@dataclass(slots=True)
+class Load:
+    """How loaded this node is.
+
+    Attributes:
+      most_lag_ns: the longest that an event waited since the last adjustment.
+      query_limit: the most open queries at present.
+    """
+
+    most_lag_ns: int = 0
+    query_limit: float = 0.0
+    adjusted_ns: int = 0
+
+
 @dataclass(slots=True)
 class World:
     """The tables that the systems run over.
@@ -102,6 +116,7 @@
     waiting_executions: dict[str, list[str]] = field(default_factory=dict)
     refused_heirs: set[str] = field(default_factory=set)
     freed: set[str] = field(default_factory=set)
+    load: Load = field(default_factory=Load)
     counters: Counters = field(default_factory=Counters)
     snapshots_version: int = 0
     ids: "itertools.count[int]" = field(
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -24,7 +24,6 @@
 _READY_S = 20.0
 _POLL_S = 0.02
 _PORT_RANGE = (10_000, 30_000)
-_LEAVES_PER_PROCESS = 40
 
 
 def free_ports(count: int) -> int:
@@ -57,6 +56,7 @@
     zones: tuple[str, ...] = layouts.ZONES["druva"]
     nodes: int = 4
     proxied: bool = False
+    leaves_per_process: int = 40
     seed: int = 1
     leaf_fields: dict[str, Any] = field(default_factory=dict)
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -218,7 +218,7 @@
     def _start_leaves(self) -> None:
         groups = self.options.groups
         count = sum(g.count * g.leaves * g.shards for g in groups)
-        chunks = -(-count // _LEAVES_PER_PROCESS)
+        chunks = -(-count // self.options.leaves_per_process)
         first = free_ports(count + chunks)
         self.placed = layouts.place(groups, first, self.options.zones)
         specs = layouts.leaf_specs(self.placed, **self.options.leaf_fields)
