--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 
-.PHONY: setup test demo check promises chaos bench-tail bench-slopes bench-call
+.PHONY: generate setup test demo check promises chaos bench-tail bench-slopes bench-call
 
 setup: $(STAMP)
 
@@ -13,8 +13,8 @@
 	touch $(STAMP)
 
 check: $(STAMP)
-	$(VENV)/bin/ruff format --check src tests bench
-	$(VENV)/bin/ruff check src tests bench
+	$(VENV)/bin/ruff format --check src tests bench tools
+	$(VENV)/bin/ruff check src tests bench tools
 	$(VENV)/bin/mypy
 
 test: $(STAMP)
@@ -37,3 +37,8 @@
 
 bench-call: $(STAMP)
 	$(PY) -m bench.call
+
+# The sample files and the OpenAPI page are generated and committed.
+generate: $(STAMP)
+	$(PY) -m tools.examples
+	$(PY) -m tools.openapi
--- a/bench/call.py
+++ b/bench/call.py
@@ -12,10 +12,10 @@
 import anyio
 import httpcore
 import httpx
-from tests.standins.fleet import Fleet, FleetOptions
-from tests.standins.layouts import Group
 
 from snipesaddle._internal.adapters.http_client import HttpConnection
+from tests.standins.fleet import Fleet, FleetOptions
+from tests.standins.layouts import Group
 
 _CALLS = 400
 _TURNS = 5
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -20,7 +20,6 @@
 _LOOKUP_QPS = 8.0
 _LEDGER_QPS = 2.0
 _EXECUTE_QPS = 8.0
-_HOOGHLY_ZONES = ("kolkata-a", "kolkata-b", "kolkata-c")
 
 
 @dataclass
@@ -101,7 +100,6 @@
 def change_one_service(fleet: Fleet, group: Group, totals: Totals) -> None:
     name = group.names()[0]
     file = fleet.service_files()[name]
-    file["class"]["latency_budget_ms"] += 0
     file["hedge"] = {"quantile": 0.97}
     address = fleet.nodes["e2"].address
     published = fleet.publish({name: file}, "--wait", f"--node={address}")
@@ -140,7 +138,7 @@
 def main() -> int:
     found = [
         run_customer("druva", layouts.DRUVA, layouts.ZONES["druva"], 1),
-        run_customer("hooghly", layouts.HOOGHLY, _HOOGHLY_ZONES, 2),
+        run_customer("hooghly", layouts.HOOGHLY, layouts.ZONES["hooghly"], 2),
     ]
     latencies = [ms for totals in found for ms in totals.latencies_ms]
     faults = [fault for totals in found for fault in totals.faults]
--- a/tests/standins/layouts.py
+++ b/tests/standins/layouts.py
@@ -70,7 +70,10 @@
     Group("lookup", "druva", "search", 4, 2, 2, 25, 0),
     Group("filing", "druva", "execute", 1, 2, 4, 110, 0),
 )
-ZONES = {"druva": ("riga-a", "riga-b", "riga-c", "riga-d")}
+ZONES = {
+    "druva": ("riga-a", "riga-b", "riga-c", "riga-d"),
+    "hooghly": ("kolkata-a", "kolkata-b", "kolkata-c"),
+}
 
 
 def even_shards(names: list[str]) -> list[dict[str, Any]]:
