--- a/src/snipesaddle/_internal/adapters/zmq_peer.py
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -39,12 +39,8 @@
         self._pull.setsockopt(zmq.LINGER, 0)
         self._pull.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         self._pull.bind(f"tcp://{address}")
-        self.sent_messages = 0
-        self.sent_bytes = 0
-        self.received_messages = 0
-        self.received_bytes = 0
 
-    def send(self, peer_address: str, message: PeerMessage) -> None:
+    def send(self, peer_address: str, message: PeerMessage) -> int:
         name = type(message).__name__.encode()
         body = self._encode(message)
         try:
@@ -52,9 +48,8 @@
                 [name, body], flags=zmq.NOBLOCK
             )
         except zmq.Again:
-            return
-        self.sent_messages += 1
-        self.sent_bytes += len(name) + len(body)
+            return 0
+        return len(name) + len(body)
 
     async def receive(self, deliver: Receive) -> None:
         descriptor = self._pull.getsockopt(zmq.FD)
@@ -89,8 +84,6 @@
             self._deliver(frames, deliver)
 
     def _deliver(self, frames: list[bytes], deliver: Receive) -> None:
-        self.received_messages += 1
-        self.received_bytes += sum(len(frame) for frame in frames)
         decoder = self._decoders.get(frames[0]) if len(frames) == 2 else None
         if decoder is None:
             logging.warning("dropped a peer message of an unknown type")
--- a/src/snipesaddle/_internal/daemon/dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/dispatcher.py
@@ -136,8 +136,9 @@
         self._front.deliver(command.request_id, command)
 
     def _send_peer(self, command: commands.SendPeer) -> None:
+        sent = self._ports.peers.send(command.peer_address, command.message)
         self._world.counters.peer_messages_sent += 1
-        self._ports.peers.send(command.peer_address, command.message)
+        self._world.counters.peer_bytes_sent += sent
 
     def _read_vm_list(self, command: commands.ReadVmList) -> None:
         del command
--- a/src/snipesaddle/_internal/ports/peer_transport.py
+++ b/src/snipesaddle/_internal/ports/peer_transport.py
@@ -12,8 +12,12 @@
     """Carries one-way messages; a message may be lost, none comes twice."""
 
     @abc.abstractmethod
-    def send(self, peer_address: str, message: PeerMessage) -> None:
-        """Sends a message, or drops it when the peer is not connected."""
+    def send(self, peer_address: str, message: PeerMessage) -> int:
+        """Sends a message, or drops it when the peer is not connected.
+
+        Returns:
+          The bytes that were handed over; 0 for a dropped message.
+        """
 
     @abc.abstractmethod
     async def receive(self, deliver: Receive) -> None:
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -38,6 +38,7 @@
     claims: int = 0
     ticks: int = 0
     peer_messages_sent: int = 0
+    peer_bytes_sent: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -157,15 +157,16 @@
         self._address = address
         self._bus = bus
 
-    def send(self, peer_address: str, message: PeerMessage) -> None:
+    def send(self, peer_address: str, message: PeerMessage) -> int:
         if {self._address, peer_address} & self._bus.cut:
-            return
+            return 0
         if not isinstance(message, Heartbeat):
             kind = type(message).__name__
             self._bus.log.note(f"{self._address} => {peer_address} {kind}")
         deliver = self._bus.receivers.get(peer_address)
         if deliver is not None:
             deliver(message)
+        return 0
 
     async def receive(self, deliver: Receive) -> None:
         self._bus.receivers[self._address] = deliver
