--- a/src/snipesaddle/_internal/adapters/claim_store.py
+++ b/src/snipesaddle/_internal/adapters/claim_store.py
@@ -1,10 +1,12 @@
 """Claims of idempotency keys in the store."""
 
 import anyio
+import msgspec
 
 from snipesaddle._internal.errors import StoreUnavailableError
 from snipesaddle._internal.ports.store import Store
 from snipesaddle._internal.tables.commands import ClaimKey
+from snipesaddle._internal.tables.executions import ClaimOwner
 
 _PREFIX = "claim/"
 _RETRY_DELAY_S = 0.02
@@ -17,8 +19,8 @@
         self._store = store
         self._life_s = life_s
 
-    async def claim(self, command: ClaimKey) -> str:
-        """Returns the incarnation that holds the claim; empty if not known.
+    async def claim(self, command: ClaimKey) -> ClaimOwner | None:
+        """Returns who holds the claim; None if that is not known.
 
         A put whose reply was lost is settled by reading the key back.
         """
@@ -26,16 +28,20 @@
         with anyio.move_on_after(command.timeout_ms / 1_000):
             while True:
                 try:
-                    return await self._settle(key, command.incarnation)
+                    return await self._settle(key, command.owner)
                 except StoreUnavailableError:
                     await anyio.sleep(_RETRY_DELAY_S)
-        return ""
+        return None
 
-    async def _settle(self, key: str, incarnation: str) -> str:
-        result = await self._store.put(key, incarnation, 0, self._life_s)
+    async def _settle(self, key: str, owner: ClaimOwner) -> ClaimOwner:
+        value = msgspec.json.encode(owner).decode()
+        result = await self._store.put(key, value, 0, self._life_s)
         if result.written:
-            return incarnation
+            return owner
         entry = await self._store.get(key)
         if entry is None:
             raise StoreUnavailableError("a claim was found and then not")
-        return entry.value
+        try:
+            return msgspec.json.decode(entry.value, type=ClaimOwner)
+        except msgspec.MsgspecError as error:
+            raise StoreUnavailableError(f"malformed claim: {error}") from error
--- a/src/snipesaddle/_internal/systems/drain.py
+++ b/src/snipesaddle/_internal/systems/drain.py
@@ -5,7 +5,7 @@
 stops.
 """
 
-from snipesaddle._internal.systems import membership
+from snipesaddle._internal.systems import execution_rows, membership, tickets
 from snipesaddle._internal.systems.base import NS_PER_MS, System
 from snipesaddle._internal.tables.commands import (
     SendPeer,
@@ -110,7 +110,10 @@
         offer = Handover(
             sender=world.me.incarnation,
             reply_address=world.me.peer_address,
-            spaces=tuple(sorted(world.spaces)),
+            spaces_ms={
+                space: tickets.space_life_ms(world, space, now_ns)
+                for space in sorted(world.spaces)
+            },
             executions=tuple(_handed(world)),
         )
         world.emit(SendPeer(heir.peer_address, offer))
@@ -154,24 +157,21 @@
 
     def _take_over(self, world: World, offer: Handover, now_ns: int) -> None:
         me = world.me
-        known = world.accepted_spaces.issuperset(offer.spaces)
+        known = world.accepted_spaces.issuperset(offer.spaces_ms)
         accepted = known or me.state is NodeState.SERVING
         reply = HandoverReply(me.incarnation, accepted)
         world.emit(SendPeer(offer.reply_address, reply))
         if known or not accepted:
             return
-        world.accepted_spaces.update(offer.spaces)
-        world.spaces.update(offer.spaces)
-        life_ns = 2 * world.settings.executions.ticket_life_ms * NS_PER_MS
         for handed in offer.executions:
-            row = _row_of(handed, now_ns)
-            world.executions.put(row.key, row)
-            world.timers.set(
-                TimerKind.EXECUTION_EXPIRY, row.key, now_ns + life_ns
-            )
-        for space in offer.spaces:
+            _take_execution(world, handed, now_ns)
+        for space, life_ms in offer.spaces_ms.items():
+            world.accepted_spaces.add(space)
+            world.spaces.add(space)
+            world.space_until_ns[space] = now_ns + life_ms * NS_PER_MS
             world.heirs.pop(space, None)
-        membership.flood(world, HeirRumour(offer.spaces, me.incarnation))
+        rumour = HeirRumour(tuple(offer.spaces_ms), me.incarnation)
+        membership.flood(world, rumour)
 
 
 def _handed(world: World) -> list[HandedExecution]:
@@ -198,6 +198,14 @@
     return handed
 
 
+def _take_execution(world: World, handed: HandedExecution, now_ns: int) -> None:
+    row = world.executions.get(handed.key)
+    if row is None:
+        row = world.executions.put(handed.key, _row_of(handed, now_ns))
+    if row.state is not ExecutionState.ENDED or row.answer is handed.answer:
+        execution_rows.finish(world, row, handed.answer, now_ns)
+
+
 def _row_of(handed: HandedExecution, now_ns: int) -> Execution:
     return Execution(
         key=handed.key,
--- a/src/snipesaddle/_internal/systems/relays.py
+++ b/src/snipesaddle/_internal/systems/relays.py
@@ -6,6 +6,7 @@
 from snipesaddle._internal.systems.base import NS_PER_MS, System
 from snipesaddle._internal.tables.commands import AnswerExecution, SendPeer
 from snipesaddle._internal.tables.executions import (
+    ClaimOwner,
     ExecuteRequest,
     ExecutionAnswer,
     Outcome,
@@ -40,13 +41,27 @@
     world: World, request: ExecuteRequest, owner: str, now_ns: int
 ) -> None:
     """Relays a request to the owner of its key and waits for the answer."""
+    _relay(world, request, ClaimOwner(owner, ""), now_ns)
+
+
+def send_claimed(
+    world: World, request: ExecuteRequest, owner: ClaimOwner, now_ns: int
+) -> None:
+    """Relays a request whose idempotency key another node claimed."""
+    _relay(world, request, owner, now_ns)
+
+
+def _relay(
+    world: World, request: ExecuteRequest, owner: ClaimOwner, now_ns: int
+) -> None:
     if request.reply_to:
         refuse(world, request)
         return
     wait_ms = min(
         request.deadline_ms, world.settings.executions.relay_timeout_ms
     )
-    relay = Relay(request, owner, now_ns + wait_ms * NS_PER_MS)
+    due_ns = now_ns + wait_ms * NS_PER_MS
+    relay = Relay(request, owner.incarnation, owner.claim_id, due_ns)
     world.relays.put(request.request_id, relay)
     _try_send(world, relay, now_ns)
 
@@ -67,7 +82,10 @@
         _ask_for_heir(world, target, now_ns)
     else:
         passed = dataclasses.replace(
-            request, reply_to=world.me.peer_address, owner=relay.owner
+            request,
+            reply_to=world.me.peer_address,
+            owner=relay.owner,
+            claim_id=relay.claim_id,
         )
         world.emit(SendPeer(peer.peer_address, RelayedExecution(passed)))
     due_ns = min(relay.due_ns, now_ns + _RESEND_NS)
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/runs.py
@@ -0,0 +1,109 @@
+"""Runs: sends executions to leaves and reads how they ended."""
+
+from snipesaddle._internal.systems import execution_rows, links, routing
+from snipesaddle._internal.systems.base import NS_PER_MS, System
+from snipesaddle._internal.systems.policies import LeafPolicy
+from snipesaddle._internal.tables.commands import ExecuteCall, StartCall
+from snipesaddle._internal.tables.executions import (
+    Execution,
+    ExecutionAnswer,
+    ExecutionState,
+    Outcome,
+)
+from snipesaddle._internal.tables.leaves import Leaf
+from snipesaddle._internal.tables.queries import (
+    Call,
+    CallKind,
+    CallResult,
+    FinishedCall,
+)
+from snipesaddle._internal.tables.world import World
+
+_NO_REPLY = "the leaf was asked and its answer was lost"
+_REFUSED = "every leaf refused the work"
+
+
+class RunsSystem(System):
+    """Starts the executions that are ready, each on one leaf at a time.
+
+    Another leaf is tried only after proof that the first did no work.
+    """
+
+    def __init__(self, policy: LeafPolicy) -> None:
+        self._policy = policy
+
+    def run(self, world: World, now_ns: int) -> None:
+        for finished in world.finished:
+            if finished.call.kind is CallKind.EXECUTE:
+                self._apply_finished(world, finished, now_ns)
+        for service in world.freed & world.waiting_executions.keys():
+            world.ready_executions += world.waiting_executions.pop(service)
+        ready, world.ready_executions = world.ready_executions, []
+        for key in ready:
+            row = world.executions.get(key)
+            if row is not None and row.state is ExecutionState.READY:
+                self._start(world, row, now_ns)
+
+    def _start(self, world: World, row: Execution, now_ns: int) -> None:
+        if now_ns >= row.deadline_ns:
+            reply = execution_rows.not_run(execution_rows.NOT_STARTED)
+            execution_rows.finish(world, row, reply, now_ns)
+            return
+        leaves = world.leaves_by_service.get(row.service, [])
+        fit = [leaf for leaf in leaves if leaf.accepts_work()]
+        untried = [leaf for leaf in fit if leaf.leaf_id not in row.tried]
+        if row.tried and not untried:
+            reply = execution_rows.not_run(_REFUSED)
+            execution_rows.finish(world, row, reply, now_ns)
+            return
+        free = [leaf for leaf in untried if links.can_carry(leaf)]
+        if not free:
+            waiting = world.waiting_executions.setdefault(row.service, [])
+            waiting.append(row.key)
+            return
+        usable = routing.best_tier(free, now_ns)
+        leaf = self._policy.choose(world, usable, now_ns)
+        self._call(world, row, leaf, now_ns)
+
+    def _call(
+        self, world: World, row: Execution, leaf: Leaf, now_ns: int
+    ) -> None:
+        link_id = links.take_link(world, leaf)
+        call = Call(
+            call_id=world.next_id(),
+            kind=CallKind.EXECUTE,
+            leaf_id=leaf.leaf_id,
+            link_id=link_id,
+            started_ns=now_ns,
+            execution_key=row.key,
+        )
+        world.calls.put(call.call_id, call)
+        leaf.in_flight += 1
+        row.state = ExecutionState.RUNNING
+        row.tried.append(leaf.leaf_id)
+        world.running_executions.add(row.key)
+        remaining_ns = max(NS_PER_MS, row.deadline_ns - now_ns)
+        late_ns = world.settings.executions.late_reply_ms * NS_PER_MS
+        request = ExecuteCall(
+            call.call_id, row.key, row.body, remaining_ns // NS_PER_MS
+        )
+        world.emit(
+            StartCall(leaf.leaf_id, link_id, request, remaining_ns + late_ns)
+        )
+
+    def _apply_finished(
+        self, world: World, finished: FinishedCall, now_ns: int
+    ) -> None:
+        row = world.executions.get(finished.call.execution_key)
+        if row is None or row.state is not ExecutionState.RUNNING:
+            return
+        world.running_executions.discard(row.key)
+        if finished.result is CallResult.ANSWERED:
+            reply = ExecutionAnswer(Outcome.DONE, finished.value)
+            execution_rows.finish(world, row, reply, now_ns)
+        elif finished.result in (CallResult.NOT_SENT, CallResult.REFUSED):
+            row.state = ExecutionState.READY
+            world.ready_executions.append(row.key)
+        else:
+            reply = execution_rows.unknown(_NO_REPLY)
+            execution_rows.finish(world, row, reply, now_ns)
--- a/src/snipesaddle/_internal/systems/schedule.py
+++ b/src/snipesaddle/_internal/systems/schedule.py
@@ -3,6 +3,7 @@
 from snipesaddle._internal.systems.admission import AdmissionSystem
 from snipesaddle._internal.systems.base import System
 from snipesaddle._internal.systems.calls import CallsSystem
+from snipesaddle._internal.systems.claims import ClaimsSystem
 from snipesaddle._internal.systems.config import ConfigSystem
 from snipesaddle._internal.systems.coverage import CoverageSystem
 from snipesaddle._internal.systems.directory import DirectorySystem
@@ -17,6 +18,7 @@
 from snipesaddle._internal.systems.relays import RelaysSystem
 from snipesaddle._internal.systems.results import ResultsSystem
 from snipesaddle._internal.systems.routing import RoutingSystem
+from snipesaddle._internal.systems.runs import RunsSystem
 from snipesaddle._internal.tables.commands import Command
 from snipesaddle._internal.tables.world import World
 
@@ -35,7 +37,9 @@
             HealthSystem(),
             DrainSystem(),
             RelaysSystem(),
-            ExecutionsSystem(policy),
+            RunsSystem(policy),
+            ClaimsSystem(),
+            ExecutionsSystem(),
             ResultsSystem(),
             AdmissionSystem(),
             PlanningSystem(),
--- a/src/snipesaddle/_internal/systems/tickets.py
+++ b/src/snipesaddle/_internal/systems/tickets.py
@@ -41,7 +41,17 @@
     return incarnation.partition("~")[0]
 
 
+def space_life_ms(world: World, space: str, now_ns: int) -> int:
+    """Returns how long unused tickets of an owned key space may still run."""
+    if space == world.me.incarnation:
+        return world.settings.executions.ticket_life_ms
+    until_ns = world.space_until_ns.get(space, now_ns)
+    return max(0, (until_ns - now_ns) // NS_PER_MS)
+
+
 def is_expired(world: World, ticket: Ticket, now_ns: int) -> bool:
-    """Tells whether a ticket of this incarnation is too old to be run."""
+    """Tells whether a ticket of an owned key space is too old to be run."""
+    if ticket.incarnation != world.me.incarnation:
+        return space_life_ms(world, ticket.incarnation, now_ns) == 0
     age_ms = (now_ns - world.me.started_ns) // NS_PER_MS - ticket.issued_ms
     return age_ms > world.settings.executions.ticket_life_ms
--- a/src/snipesaddle/_internal/tables/commands.py
+++ b/src/snipesaddle/_internal/tables/commands.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from snipesaddle._internal.tables.executions import ExecutionAnswer
+from snipesaddle._internal.tables.executions import ClaimOwner, ExecutionAnswer
 from snipesaddle._internal.tables.messages import PeerMessage
 from snipesaddle._internal.tables.queries import MissingReason, ShardKey
 
@@ -169,11 +169,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimKey:
-    """Claims an idempotency key in the store for this incarnation."""
+    """Claims an idempotency key in the store for a row of this node."""
 
     key: str
     service: str
-    incarnation: str
+    owner: ClaimOwner
     timeout_ms: int
 
 
--- a/src/snipesaddle/_internal/tables/events.py
+++ b/src/snipesaddle/_internal/tables/events.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from snipesaddle._internal.tables.config import Head, ServiceSpec
-from snipesaddle._internal.tables.executions import ExecuteRequest
+from snipesaddle._internal.tables.executions import ClaimOwner, ExecuteRequest
 from snipesaddle._internal.tables.leaves import Holding, LeafState
 from snipesaddle._internal.tables.messages import PeerMessage
 from snipesaddle._internal.tables.nodes import NodeState
@@ -153,12 +153,12 @@
     """A claim of an idempotency key was settled, or could not be.
 
     Attributes:
-      owner: the incarnation that holds the claim; empty when not known.
+      owner: who holds the claim; None when not known.
     """
 
     key: str
     service: str
-    owner: str
+    owner: ClaimOwner | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/snipesaddle/_internal/tables/executions.py
+++ b/src/snipesaddle/_internal/tables/executions.py
@@ -22,6 +22,14 @@
     ENDED = "ended"
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimOwner:
+    """Who claimed an idempotency key: a row of an incarnation."""
+
+    incarnation: str
+    claim_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class ExecuteRequest:
     """An execution as the front end, or a peer, hands it over.
@@ -30,6 +38,7 @@
       key: the ticket or the caller's idempotency key.
       reply_to: the peer that relayed it, or empty for a local caller.
       owner: the incarnation that the relaying peer believes owns the key.
+      claim_id: the row that claimed an idempotency key, when relayed.
     """
 
     request_id: str
@@ -42,7 +51,7 @@
     deadline_ms: int
     reply_to: str = ""
     owner: str = ""
-    hops: int = 0
+    claim_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +70,7 @@
 
     Attributes:
       incarnation: the incarnation under which the key was accepted.
+      claim_id: tells this row from an earlier one of the same key.
     """
 
     key: str
@@ -73,7 +83,7 @@
     incarnation: str
     answer: ExecutionAnswer | None = None
     waiters: list[ExecuteRequest] = field(default_factory=list)
-    call_id: int = 0
+    claim_id: str = ""
     tried: list[str] = field(default_factory=list)
     is_ticket: bool = True
     claim_in_flight: bool = False
@@ -85,4 +95,5 @@
 
     request: ExecuteRequest
     owner: str
+    claim_id: str
     due_ns: int
--- a/src/snipesaddle/_internal/tables/messages.py
+++ b/src/snipesaddle/_internal/tables/messages.py
@@ -121,12 +121,13 @@
     """Gives key spaces of a leaving node to one heir, for ever.
 
     Attributes:
-      spaces: the incarnations whose key spaces are handed over.
+      spaces_ms: by incarnation whose key space is handed over, how long its
+        unused tickets may still be run.
     """
 
     sender: str
     reply_address: str
-    spaces: tuple[str, ...]
+    spaces_ms: dict[str, int]
     executions: tuple[HandedExecution, ...]
 
 
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -72,6 +72,7 @@
       ready_executions: executions to start in this tick.
       waiting_executions: executions that wait for a free link, by service.
       spaces: incarnations whose execution keys this node owns.
+      space_until_ns: when tickets of a space taken over may no more run.
       heir_asked_ns: when the neighbours were asked for an heir.
       heirs: who took over the key space of an incarnation that left.
       snapshots_version: grows when any leaf's holdings or state change.
@@ -98,6 +99,7 @@
     executions: Table[str, Execution] = field(default_factory=Table)
     relays: Table[str, Relay] = field(default_factory=Table)
     spaces: set[str] = field(default_factory=set)
+    space_until_ns: dict[str, int] = field(default_factory=dict)
     heirs: dict[str, str] = field(default_factory=dict)
     heir_asked_ns: dict[str, int] = field(default_factory=dict)
     hedge_budgets: dict[str, Budget] = field(default_factory=dict)
