--- a/src/snipesaddle/_internal/daemon/node.py
+++ b/src/snipesaddle/_internal/daemon/node.py
@@ -103,7 +103,8 @@
         world = build_world(settings, clock.now_ns(), incarnation)
         node = Node(world, ports, tasks)
         tasks.start_soon(server.watch_signals, world)
-        tasks.start_soon(server.serve, settings, node)
+        stopped = node.dispatcher.front_stopped
+        tasks.start_soon(server.serve, settings, node.front.app, stopped)
         node.start()
         logging.info("started incarnation %s", incarnation)
         await node.dispatcher.node_stopped.wait()
--- a/src/snipesaddle/_internal/daemon/server.py
+++ b/src/snipesaddle/_internal/daemon/server.py
@@ -1,7 +1,7 @@
 """The HTTP server and the signals of the process."""
 
 import signal
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import anyio
 import hypercorn.asyncio
@@ -9,28 +9,28 @@
 from absl import logging
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
+from starlette.applications import Starlette
 
 from snipesaddle._internal.models.settings import Settings
 from snipesaddle._internal.tables.events import DrainAsked
 from snipesaddle._internal.tables.world import World
 
-if TYPE_CHECKING:
-    from snipesaddle._internal.daemon.node import Node
-
 _KEEP_ALIVE_S = 75
 # Hypercorn would end a connection, requests in flight included, after this.
 _MAX_REQUESTS_PER_CONNECTION = 2**62
 
 
-async def serve(settings: Settings, node: "Node") -> None:
-    """Serves callers until the node stops its front."""
+async def serve(
+    settings: Settings, app: Starlette, front_stopped: anyio.Event
+) -> None:
+    """Serves callers until the front is stopped."""
     config = _config_of(settings)
-    stop = node.dispatcher.front_stopped.wait
-    app = cast("ASGIFramework", node.front.app)
+    stop = front_stopped.wait
+    framework = cast("ASGIFramework", app)
     if settings.event_loop == "trio":
-        await hypercorn.trio.serve(app, config, shutdown_trigger=stop)
+        await hypercorn.trio.serve(framework, config, shutdown_trigger=stop)
     else:
-        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop)
+        await hypercorn.asyncio.serve(framework, config, shutdown_trigger=stop)
 
 
 async def watch_signals(world: World) -> None:
