Forget peers that are gone, with their connections

Cause: a peer neither listed nor live was no neighbour, and only neighbours were looked through, so it stayed for ever and its socket went on connecting ten times a second. What was heard of leaves is now kept by observing node and not by incarnation, so it does not grow with restarts.

--- a/src/snipesaddle/_internal/adapters/zmq_peer.py
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -51,6 +51,11 @@
             return 0
         return len(name) + len(body)
 
+    def drop(self, peer_address: str) -> None:
+        socket = self._push.pop(peer_address, None)
+        if socket is not None:
+            socket.close(linger=0)
+
     async def receive(self, deliver: Receive) -> None:
         descriptor = self._pull.getsockopt(zmq.FD)
         assert isinstance(descriptor, int)
--- a/src/snipesaddle/_internal/daemon/dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/dispatcher.py
@@ -47,6 +47,7 @@
             commands.AnswerExecution: self._deliver,
             commands.AnswerDirectory: self._deliver,
             commands.SendPeer: self._send_peer,
+            commands.DropPeer: self._drop_peer,
             commands.ReadVmList: self._read_vm_list,
             commands.WatchHead: self._watch_head,
             commands.FetchBlobs: self._fetch_blobs,
@@ -140,6 +141,9 @@
         self._world.counters.peer_messages_sent += 1
         self._world.counters.peer_bytes_sent += sent
 
+    def _drop_peer(self, command: commands.DropPeer) -> None:
+        self._ports.peers.drop(command.peer_address)
+
     def _read_vm_list(self, command: commands.ReadVmList) -> None:
         del command
         self._tasks.start_soon(self._run_read_vm_list)
--- a/src/snipesaddle/_internal/ports/peer_transport.py
+++ b/src/snipesaddle/_internal/ports/peer_transport.py
@@ -19,6 +19,10 @@
           The bytes that were handed over; 0 for a dropped message.
         """
 
+    @abc.abstractmethod
+    def drop(self, peer_address: str) -> None:
+        """Closes the connection to a peer, if there is one."""
+
     @abc.abstractmethod
     async def receive(self, deliver: Receive) -> None:
         """Delivers messages until cancelled."""
--- a/src/snipesaddle/_internal/systems/health.py
+++ b/src/snipesaddle/_internal/systems/health.py
@@ -1,6 +1,11 @@
 """Leaf health: what replies, probes and other nodes say of each leaf."""
 
-from snipesaddle._internal.systems import links, membership, rendezvous
+from snipesaddle._internal.systems import (
+    links,
+    membership,
+    rendezvous,
+    tickets,
+)
 from snipesaddle._internal.systems.base import NS_PER_MS, System, on_grid
 from snipesaddle._internal.tables.config import LeafSpec, ServiceSpec
 from snipesaddle._internal.tables.events import (
@@ -190,11 +195,12 @@
         self, world: World, rumour: LeafRumour, now_ns: int
     ) -> None:
         leaf = world.leaves.get(rumour.leaf_id)
-        seen_key = (rumour.origin, rumour.leaf_id)
-        seen = world.rumour_versions.get(seen_key, 0)
-        if leaf is None or rumour.version <= seen:
+        seen_key = (tickets.node_of(rumour.origin), rumour.leaf_id)
+        seen = world.rumour_versions.get(seen_key, ("", 0))
+        heard = (rumour.origin, rumour.version)
+        if leaf is None or heard <= seen:
             return
-        world.rumour_versions[seen_key] = rumour.version
+        world.rumour_versions[seen_key] = heard
         _set_state(world, leaf, rumour.state, now_ns)
         leaf.holdings = dict(rumour.holdings)
         leaf.observed_ns = now_ns
--- a/src/snipesaddle/_internal/systems/membership.py
+++ b/src/snipesaddle/_internal/systems/membership.py
@@ -6,7 +6,11 @@
 
 from snipesaddle._internal.systems import rendezvous
 from snipesaddle._internal.systems.base import NS_PER_MS, System, on_grid
-from snipesaddle._internal.tables.commands import ReadVmList, SendPeer
+from snipesaddle._internal.tables.commands import (
+    DropPeer,
+    ReadVmList,
+    SendPeer,
+)
 from snipesaddle._internal.tables.events import VmEntry, VmListRead
 from snipesaddle._internal.tables.messages import (
     Heartbeat,
@@ -127,9 +131,14 @@
         for peer in neighbours(world):
             if peer.live and peer.heard_ns < silent_since_ns:
                 self._mark_dead(world, peer)
-            gone_ns = now_ns - _FORGET_AFTER_NS
-            if not peer.live and not peer.listed and peer.heard_ns < gone_ns:
-                world.peers.remove(peer.node_id)
+
+    def _forget_gone(self, world: World, now_ns: int) -> None:
+        for peer in world.peers:
+            silent_ns = now_ns - peer.heard_ns
+            if peer.live or peer.listed or silent_ns < _FORGET_AFTER_NS:
+                continue
+            world.peers.remove(peer.node_id)
+            world.emit(DropPeer(peer.peer_address))
 
     def _mark_dead(self, world: World, peer: Peer) -> None:
         peer.live = False
@@ -153,6 +162,7 @@
         for entry in read.nodes:
             if entry.node_id != world.me.node_id:
                 self._apply_entry(world, entry, now_ns)
+        self._forget_gone(world, now_ns)
 
     def _apply_entry(self, world: World, entry: VmEntry, now_ns: int) -> None:
         if entry.node_id in world.peers:
--- a/src/snipesaddle/_internal/tables/commands.py
+++ b/src/snipesaddle/_internal/tables/commands.py
@@ -147,6 +147,13 @@
     message: PeerMessage
 
 
+@dataclass(frozen=True, slots=True)
+class DropPeer:
+    """Closes the connection to an entry node that is gone."""
+
+    peer_address: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReadVmList:
     """Reads the platform's VM list."""
@@ -197,6 +204,7 @@
     | AnswerExecution
     | AnswerDirectory
     | SendPeer
+    | DropPeer
     | ReadVmList
     | WatchHead
     | FetchBlobs
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -67,6 +67,7 @@
       pins: the snapshot chosen for a set of services, until one changes.
       config_changed: a generation came into force in this tick.
       freed: services with a link that came free in this tick.
+      rumour_versions: the newest rumour by observing node and leaf.
       joined: peers whose incarnation is new in this tick.
       accepted_spaces: key spaces ever taken over from a leaving node.
       ready_executions: executions to start in this tick.
@@ -106,7 +107,9 @@
     retry_budgets: dict[str, Budget] = field(default_factory=dict)
     latencies: dict[str, LatencyWindow] = field(default_factory=dict)
     finished: list[FinishedCall] = field(default_factory=list)
-    rumour_versions: dict[tuple[str, str], int] = field(default_factory=dict)
+    rumour_versions: dict[tuple[str, str], tuple[str, int]] = field(
+        default_factory=dict
+    )
     leaving_leaves: frozenset[str] = frozenset()
     pins: dict[tuple[str, ...], int] = field(default_factory=dict)
     full_pins: dict[tuple[str, ...], bool] = field(default_factory=dict)
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -168,6 +168,9 @@
             deliver(message)
         return 0
 
+    def drop(self, peer_address: str) -> None:
+        del peer_address
+
     async def receive(self, deliver: Receive) -> None:
         self._bus.receivers[self._address] = deliver
         await anyio.sleep_forever()
