Mend lasting differences between the nodes' views

Cause: with more nodes than neighbours a change travels as a rumour that is sent once; at the start of 32 nodes some were sent before the connection was up, and the fleet's views did not meet within 20 s. With 16 they happened to. Ruled out: the ring, which is connected. Change: heartbeats carry a digest of the live nodes, and a neighbour whose digest differs three times in a row is sent the whole view.

--- a/src/snipesaddle/_internal/systems/membership.py
+++ b/src/snipesaddle/_internal/systems/membership.py
@@ -17,6 +17,7 @@
     NodeRecord,
     NodeRumour,
     PeerMessage,
+    ViewSync,
 )
 from snipesaddle._internal.tables.nodes import NodeState, Peer
 from snipesaddle._internal.tables.timers import TimerKind
@@ -24,6 +25,8 @@
 
 _FORGET_AFTER_NS = 60_000 * NS_PER_MS
 _VM_LIST_SPREAD_MS_PER_NODE = 5
+# Views differ for a moment after each change; only a lasting gap is mended.
+_SYNC_AFTER_BEATS = 3
 _BEAT = "beat"
 _VM_LIST = "vm_list"
 
@@ -74,9 +77,29 @@
     )
 
 
+def view_digest(world: World) -> int:
+    """Returns a digest of the live nodes, this one included, 64 bits."""
+    if world.peers_digest is None:
+        digest = 0
+        for peer in live_peers(world):
+            digest ^= _digest(peer.node_id, peer.incarnation, peer.state)
+        world.peers_digest = digest
+    me = world.me
+    return world.peers_digest ^ _digest(me.node_id, me.incarnation, me.state)
+
+
+def heartbeat(world: World) -> Heartbeat:
+    """Returns a heartbeat of this node."""
+    return Heartbeat(record_of_self(world), view_digest(world))
+
+
 def announce(world: World) -> None:
     """Sends a heartbeat to all neighbours at once."""
-    flood(world, Heartbeat(record_of_self(world)))
+    flood(world, heartbeat(world))
+
+
+def _digest(node_id: str, incarnation: str, state: NodeState) -> int:
+    return rendezvous.weight(node_id, f"{incarnation}/{state.value}")
 
 
 def flood(world: World, message: PeerMessage, skip: str = "") -> None:
@@ -98,6 +121,10 @@
             self._apply_vm_list(world, read, now_ns)
         for beat in world.inbox.take(Heartbeat):
             self._apply_record(world, beat.node, True, now_ns, direct=True)
+            self._compare_views(world, beat)
+        for sync in world.inbox.take(ViewSync):
+            for record in sync.nodes:
+                self._apply_record(world, record, True, now_ns, direct=False)
         for rumour in world.inbox.take(NodeRumour):
             self._apply_record(
                 world, rumour.node, rumour.live, now_ns, direct=False
@@ -108,6 +135,22 @@
         if _BEAT in due:
             self._beat(world, now_ns)
 
+    def _compare_views(self, world: World, beat: Heartbeat) -> None:
+        """Sends the whole view to a neighbour whose view stays different.
+
+        A rumour is sent once and may be lost; this makes up for it.
+        """
+        peer = world.peers.get(beat.node.node_id)
+        if peer is None or not self._mesh_is_partial(world):
+            return
+        same = beat.view == view_digest(world)
+        peer.view_differs = 0 if same else peer.view_differs + 1
+        if peer.view_differs >= _SYNC_AFTER_BEATS:
+            peer.view_differs = 0
+            live = live_peers(world)
+            records = tuple(_record_of_peer(other) for other in live)
+            world.emit(SendPeer(peer.peer_address, ViewSync(records)))
+
     def _read_vm_list(self, world: World, now_ns: int) -> None:
         world.emit(ReadVmList())
         spread_ms = len(world.peers) * _VM_LIST_SPREAD_MS_PER_NODE
@@ -138,10 +181,12 @@
             if peer.live or peer.listed or silent_ns < _FORGET_AFTER_NS:
                 continue
             world.peers.remove(peer.node_id)
+            world.peers_digest = None
             world.emit(DropPeer(peer.peer_address))
 
     def _mark_dead(self, world: World, peer: Peer) -> None:
         peer.live = False
+        world.peers_digest = None
         world.peers.mark(peer.node_id)
         if self._mesh_is_partial(world):
             rumour = NodeRumour(_record_of_peer(peer), live=False)
@@ -177,8 +222,7 @@
             heard_ns=now_ns,
         )
         world.peers.put(entry.node_id, peer)
-        beat = Heartbeat(record_of_self(world))
-        world.emit(SendPeer(peer.peer_address, beat))
+        world.emit(SendPeer(peer.peer_address, heartbeat(world)))
 
     def _apply_record(
         self,
@@ -202,9 +246,10 @@
         if before[0] != peer.incarnation:
             world.joined.append(peer.node_id)
         changed = before != (peer.incarnation, peer.state, peer.live)
+        if changed:
+            world.peers_digest = None
         if changed and direct:
-            beat = Heartbeat(record_of_self(world))
-            world.emit(SendPeer(peer.peer_address, beat))
+            world.emit(SendPeer(peer.peer_address, heartbeat(world)))
         if changed and self._mesh_is_partial(world):
             flood(world, NodeRumour(record, live), skip=record.node_id)
 
--- a/src/snipesaddle/_internal/tables/messages.py
+++ b/src/snipesaddle/_internal/tables/messages.py
@@ -32,9 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Tells a neighbour that the sender is alive."""
+    """Tells a neighbour that the sender is alive.
+
+    Attributes:
+      view: a digest of the nodes that the sender holds live.
+    """
 
     node: NodeRecord
+    view: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +50,13 @@
     live: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ViewSync:
+    """Gives a neighbour all nodes that the sender holds live."""
+
+    nodes: tuple[NodeRecord, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LeafRumour:
     """Passes on a change of a leaf that the sender observed.
@@ -158,6 +170,7 @@
 PeerMessage = (
     Heartbeat
     | NodeRumour
+    | ViewSync
     | LeafRumour
     | HeadRequest
     | HeadReply
--- a/src/snipesaddle/_internal/tables/nodes.py
+++ b/src/snipesaddle/_internal/tables/nodes.py
@@ -20,6 +20,7 @@
     Attributes:
       incarnation: names one run of the process; empty until first heard.
       listed: the VM list names it.
+      view_differs: how many of its heartbeats in a row told another view.
       store_ok: its last word on whether it reaches the store.
     """
 
@@ -35,6 +36,7 @@
     live: bool = False
     heard_ns: int = 0
     sequence: int = 0
+    view_differs: int = 0
 
 
 class DrainPhase(enum.Enum):
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -74,6 +74,7 @@
       config_changed: a generation came into force in this tick.
       freed: services with a link that came free in this tick.
       rumour_versions: the newest rumour by observing node and leaf.
+      peers_digest: a digest of the live peers; None when it must be made.
       joined: peers whose incarnation is new in this tick.
       accepted_spaces: key spaces ever taken over from a leaving node.
       ready_executions: executions to start in this tick.
@@ -121,6 +122,7 @@
     full_pins: dict[tuple[str, ...], bool] = field(default_factory=dict)
     opening_links: int = 0
     config_changed: bool = False
+    peers_digest: int | None = None
     joined: list[str] = field(default_factory=list)
     accepted_spaces: set[str] = field(default_factory=set)
     ready_executions: list[str] = field(default_factory=list)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -10,6 +10,7 @@
     Heartbeat,
     NodeRecord,
     NodeRumour,
+    ViewSync,
 )
 from snipesaddle._internal.tables.nodes import NodeState
 from tests.standins import layouts
@@ -115,6 +116,25 @@
     assert len(passed) == len([p for p in near if p.node_id != "n5"])
 
 
+def test_lasting_difference_of_views_is_mended(run: Ticks) -> None:
+    names = [f"n{i}" for i in range(12)]
+    list_vms(run, "e1", *names)
+    for name in names:
+        beat(run, name)
+    run.commands.clear()
+    for sequence in (2, 3, 4):
+        beat(run, "n3", sequence=sequence)
+    [sync] = [
+        c.message for c in run.take(SendPeer) if isinstance(c.message, ViewSync)
+    ]
+    assert len(sync.nodes) == 12
+    other = sync.nodes[0]
+    run.world.peers.remove(other.node_id)
+    run.world.inbox.put(sync)
+    run.tick()
+    assert run.world.peers[other.node_id].live
+
+
 def test_two_of_many_watch_the_store(run: Ticks) -> None:
     watchers = 0
     names = [f"n{i}" for i in range(30)]
