--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 
-.PHONY: generate setup test demo check promises chaos bench-tail bench-slopes bench-call
+.PHONY: generate setup test demo check promises chaos bench-tail bench-slopes bench-call bench-fanout
 
 setup: $(STAMP)
 
@@ -35,6 +35,9 @@
 bench-slopes: $(STAMP)
 	$(PY) -m bench.slopes
 
+bench-fanout: $(STAMP)
+	$(PY) -m bench.fanout
+
 bench-call: $(STAMP)
 	$(PY) -m bench.call
 
