--- a/src/snipesaddle/_internal/systems/membership.py
+++ b/src/snipesaddle/_internal/systems/membership.py
@@ -171,7 +171,13 @@
     def _suspect_silent(self, world: World, now_ns: int) -> None:
         suspect_ms = world.settings.membership.suspect_after_ms
         silent_since_ns = now_ns - suspect_ms * NS_PER_MS
-        for peer in neighbours(world):
+        near = neighbours(world)
+        for peer in near:
+            # A new neighbour was no sender of heartbeats until now.
+            if peer.node_id not in world.neighbour_ids:
+                peer.heard_ns = max(peer.heard_ns, now_ns)
+        world.neighbour_ids = {peer.node_id for peer in near}
+        for peer in near:
             if peer.live and peer.heard_ns < silent_since_ns:
                 self._mark_dead(world, peer)
 
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -75,6 +75,7 @@
       freed: services with a link that came free in this tick.
       rumour_versions: the newest rumour by observing node and leaf.
       peers_digest: a digest of the live peers; None when it must be made.
+      neighbour_ids: the neighbours at the last heartbeat.
       joined: peers whose incarnation is new in this tick.
       accepted_spaces: key spaces ever taken over from a leaving node.
       ready_executions: executions to start in this tick.
@@ -123,6 +124,7 @@
     opening_links: int = 0
     config_changed: bool = False
     peers_digest: int | None = None
+    neighbour_ids: set[str] = field(default_factory=set)
     joined: list[str] = field(default_factory=list)
     accepted_spaces: set[str] = field(default_factory=set)
     ready_executions: list[str] = field(default_factory=list)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -116,6 +116,27 @@
     assert len(passed) == len([p for p in near if p.node_id != "n5"])
 
 
+def test_new_neighbour_is_not_suspected_for_its_past_silence(
+    run: Ticks,
+) -> None:
+    names = [f"n{i}" for i in range(20)]
+    list_vms(run, "e1", *names)
+    for name in names:
+        beat(run, name)
+    near = {p.node_id for p in membership.neighbours(run.world)}
+    run.tick(1_000)
+    for second in range(10):
+        for name in near:
+            beat(run, name, sequence=2 + second)
+        run.tick(1_000)
+    lost = sorted(near)[0]
+    run.world.peers.remove(lost)
+    run.tick(1_000)
+    later = {p.node_id for p in membership.neighbours(run.world)}
+    [entered] = later - near
+    assert run.world.peers[entered].live
+
+
 def test_lasting_difference_of_views_is_mended(run: Ticks) -> None:
     names = [f"n{i}" for i in range(12)]
     list_vms(run, "e1", *names)
