--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -7,6 +7,7 @@
 import argparse
 import json
 import random
+import signal
 import sys
 import threading
 import time
@@ -88,6 +89,7 @@
     def _lane(self, rng: random.Random, until: float) -> None:
         faults: list[Callable[[random.Random], None]] = [
             self._kill,
+            self._restart,
             self._freeze,
             self._cut_store,
             self._cut_peers,
@@ -140,6 +142,15 @@
 
         self._with_node(rng, "kill", hurt, self.fleet.start_node)
 
+    def _restart(self, rng: random.Random) -> None:
+        def hurt(name: str) -> None:
+            node = self.fleet.nodes[name]
+            node.send_signal(signal.SIGTERM)
+            assert node.process is not None
+            node.process.wait(40)
+
+        self._with_node(rng, "restart", hurt, self.fleet.start_node)
+
     def _freeze(self, rng: random.Random) -> None:
         nodes = self.fleet.nodes
         self._with_node(
