Open calls in one place, and drop state that nothing reads

Starting a search call and starting an execution took a link, numbered the call and counted it on the leaf each in their own words; open_call now does that for both. Removed, as nothing read them: PeerUnreachable, snapshots_version, idle_since_ns of a link, is_hedge of a call and waiting of a shard. The callers' stand-in sends both kinds of request through one function.

--- a/src/snipesaddle/_internal/systems/calls.py
+++ b/src/snipesaddle/_internal/systems/calls.py
@@ -17,6 +17,25 @@
 _SHED_PAUSE_NS = 1_000 * NS_PER_MS
 
 
+def open_call(world: World, leaf: Leaf, kind: CallKind, now_ns: int) -> Call:
+    """Adds a call on a leaf that has a free link; the caller says for what.
+
+    Raises:
+      LookupError: the leaf's share of links is used up.
+    """
+    link_id = links.take_link(world, leaf)
+    call = Call(
+        call_id=world.next_id(),
+        kind=kind,
+        leaf_id=leaf.leaf_id,
+        link_id=link_id,
+        started_ns=now_ns,
+    )
+    world.calls.put(call.call_id, call)
+    leaf.in_flight += 1
+    return call
+
+
 class CallsSystem(System):
     """Turns ended calls into checked results for this tick."""
 
--- a/src/snipesaddle/_internal/systems/health.py
+++ b/src/snipesaddle/_internal/systems/health.py
@@ -125,7 +125,6 @@
 
 def forget_pins(world: World) -> None:
     """Makes the next query choose its snapshot anew."""
-    world.snapshots_version += 1
     world.pins.clear()
     world.full_pins.clear()
 
--- a/src/snipesaddle/_internal/systems/hedging.py
+++ b/src/snipesaddle/_internal/systems/hedging.py
@@ -60,6 +60,4 @@
         world.counters.hedge_calls += 1
         usable = routing.best_tier(free, now_ns)
         leaf = self._policy.choose(world, usable, now_ns)
-        routing.start_search_call(
-            world, query, task, leaf, now_ns, is_hedge=True
-        )
+        routing.start_search_call(world, query, task, leaf, now_ns)
--- a/src/snipesaddle/_internal/systems/links.py
+++ b/src/snipesaddle/_internal/systems/links.py
@@ -41,7 +41,6 @@
         _start_linger(world, link, now_ns)
         return
     link.state = LinkState.IDLE
-    link.idle_since_ns = now_ns
     if leaf is None or not leaf.accepts_work():
         _close(world, link)
         return
--- a/src/snipesaddle/_internal/systems/routing.py
+++ b/src/snipesaddle/_internal/systems/routing.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from snipesaddle._internal.systems import links, snapshots
+from snipesaddle._internal.systems import calls, links, snapshots
 from snipesaddle._internal.systems.base import System
 from snipesaddle._internal.systems.policies import LeafPolicy, tier
 from snipesaddle._internal.tables.budgets import Budget
@@ -10,7 +10,6 @@
 from snipesaddle._internal.tables.config import ServiceSpec
 from snipesaddle._internal.tables.leaves import Leaf
 from snipesaddle._internal.tables.queries import (
-    Call,
     CallKind,
     MissingReason,
     Query,
@@ -52,28 +51,16 @@
     task: ShardTask,
     leaf: Leaf,
     now_ns: int,
-    *,
-    is_hedge: bool,
 ) -> int:
     """Starts a call for one shard on a leaf that has a free link.
 
     Returns:
       The id of the call.
     """
-    link_id = links.take_link(world, leaf)
-    call = Call(
-        call_id=world.next_id(),
-        kind=CallKind.SEARCH,
-        leaf_id=leaf.leaf_id,
-        link_id=link_id,
-        started_ns=now_ns,
-        query_id=query.query_id,
-        snapshot=query.snapshot,
-        shard=task.key,
-        is_hedge=is_hedge,
-    )
-    world.calls.put(call.call_id, call)
-    leaf.in_flight += 1
+    call = calls.open_call(world, leaf, CallKind.SEARCH, now_ns)
+    call.query_id = query.query_id
+    call.snapshot = query.snapshot
+    call.shard = task.key
     task.calls.append(call.call_id)
     task.tried.append(leaf.leaf_id)
     task.state = TaskState.RUNNING
@@ -85,7 +72,7 @@
         query=query.request.query,
         deadline_ms=max(1, remaining_ns // 1_000_000),
     )
-    world.emit(StartCall(leaf.leaf_id, link_id, request, remaining_ns))
+    world.emit(StartCall(leaf.leaf_id, call.link_id, request, remaining_ns))
     return call.call_id
 
 
@@ -133,9 +120,7 @@
             self._park(world, query, task)
             return
         leaf = self._policy.choose(world, best_tier(free, now_ns), now_ns)
-        call_id = start_search_call(
-            world, query, task, leaf, now_ns, is_hedge=False
-        )
+        call_id = start_search_call(world, query, task, leaf, now_ns)
         if len(task.tried) == 1:
             self._count_primary(world, task, call_id, now_ns)
         else:
--- a/src/snipesaddle/_internal/systems/runs.py
+++ b/src/snipesaddle/_internal/systems/runs.py
@@ -1,6 +1,11 @@
 """Runs: sends executions to leaves and reads how they ended."""
 
-from snipesaddle._internal.systems import execution_rows, links, routing
+from snipesaddle._internal.systems import (
+    calls,
+    execution_rows,
+    links,
+    routing,
+)
 from snipesaddle._internal.systems.base import NS_PER_MS, System
 from snipesaddle._internal.systems.policies import LeafPolicy
 from snipesaddle._internal.tables.commands import ExecuteCall, StartCall
@@ -12,7 +17,6 @@
 )
 from snipesaddle._internal.tables.leaves import Leaf
 from snipesaddle._internal.tables.queries import (
-    Call,
     CallKind,
     CallResult,
     FinishedCall,
@@ -68,17 +72,8 @@
     def _call(
         self, world: World, row: Execution, leaf: Leaf, now_ns: int
     ) -> None:
-        link_id = links.take_link(world, leaf)
-        call = Call(
-            call_id=world.next_id(),
-            kind=CallKind.EXECUTE,
-            leaf_id=leaf.leaf_id,
-            link_id=link_id,
-            started_ns=now_ns,
-            execution_key=row.key,
-        )
-        world.calls.put(call.call_id, call)
-        leaf.in_flight += 1
+        call = calls.open_call(world, leaf, CallKind.EXECUTE, now_ns)
+        call.execution_key = row.key
         row.state = ExecutionState.RUNNING
         row.tried.append(leaf.leaf_id)
         world.running_executions.add(row.key)
@@ -88,7 +83,9 @@
             call.call_id, row.key, row.body, remaining_ns // NS_PER_MS
         )
         world.emit(
-            StartCall(leaf.leaf_id, link_id, request, remaining_ns + late_ns)
+            StartCall(
+                leaf.leaf_id, call.link_id, request, remaining_ns + late_ns
+            )
         )
 
     def _apply_finished(
--- a/src/snipesaddle/_internal/tables/events.py
+++ b/src/snipesaddle/_internal/tables/events.py
@@ -6,7 +6,6 @@
 from snipesaddle._internal.tables.config import Head, ServiceSpec
 from snipesaddle._internal.tables.executions import ClaimOwner, ExecuteRequest
 from snipesaddle._internal.tables.leaves import Holding, LeafState
-from snipesaddle._internal.tables.messages import PeerMessage
 from snipesaddle._internal.tables.nodes import NodeState
 from snipesaddle._internal.tables.queries import CallResult, SearchRequest
 
@@ -98,14 +97,6 @@
     link_usable: bool
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUnreachable:
-    """A message could not be handed to the connection; it was not sent."""
-
-    peer_address: str
-    message: PeerMessage
-
-
 @dataclass(frozen=True, slots=True)
 class VmEntry:
     """One entry of the platform's VM list."""
--- a/src/snipesaddle/_internal/tables/leaves.py
+++ b/src/snipesaddle/_internal/tables/leaves.py
@@ -84,4 +84,3 @@
     link_id: int
     leaf_id: str
     state: LinkState
-    idle_since_ns: int = 0
--- a/src/snipesaddle/_internal/tables/queries.py
+++ b/src/snipesaddle/_internal/tables/queries.py
@@ -61,7 +61,6 @@
     hits: list[Any] = field(default_factory=list)
     reason: MissingReason = MissingReason.TIMEOUT
     hedged: bool = False
-    waiting: bool = False
 
 
 @dataclass(slots=True)
@@ -125,7 +124,6 @@
     snapshot: int = 0
     shard: ShardKey | None = None
     execution_key: str = ""
-    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -84,7 +84,6 @@
       space_until_ns: when tickets of a space taken over may no more run.
       heir_asked_ns: when the neighbours were asked for an heir.
       heirs: who took over the key space of an incarnation that left.
-      snapshots_version: grows when any leaf's holdings or state change.
     """
 
     settings: Settings
@@ -134,7 +133,6 @@
     freed: set[str] = field(default_factory=set)
     load: Load = field(default_factory=Load)
     counters: Counters = field(default_factory=Counters)
-    snapshots_version: int = 0
     ids: "itertools.count[int]" = field(
         default_factory=lambda: itertools.count(1)
     )
--- a/tests/standins/callers.py
+++ b/tests/standins/callers.py
@@ -207,21 +207,26 @@
     ) -> None:
         result.asked += 1
         path = f"/v1/search/{stream.target}"
-        body = {
-            "query": text,
-            "tenant": stream.tenant,
-            "deadline_ms": stream.deadline_ms,
-        }
-        content = msgspec.json.encode(body)
-        timeout_s = stream.deadline_ms / 1_000 + 2.0
         try:
-            reply = await directory.ask(path, content, timeout_s)
+            reply = await self._post(stream, directory, path, {"query": text})
         except (*LOST_ERRORS, TimeoutError) as error:
             _count(result, f"lost:{type(error).__name__}")
             return
         latency_ms = (time.monotonic() - due) * 1_000
         self._judge(stream, result, text, reply, due - start, latency_ms)
 
+    async def _post(
+        self,
+        stream: Stream,
+        directory: Directory,
+        path: str,
+        body: dict[str, Any],
+    ) -> HttpReply:
+        common = {"tenant": stream.tenant, "deadline_ms": stream.deadline_ms}
+        timeout_s = stream.deadline_ms / 1_000 + 2.0
+        content = msgspec.json.encode(body | common)
+        return await directory.ask(path, content, timeout_s)
+
     def _judge(
         self,
         stream: Stream,
@@ -304,16 +309,9 @@
         text: str,
     ) -> str:
         path = f"/v1/execute/{stream.target}"
-        body = {
-            "body": {"text": text},
-            "ticket": ticket,
-            "tenant": stream.tenant,
-            "deadline_ms": stream.deadline_ms,
-        }
-        content = msgspec.json.encode(body)
-        timeout_s = stream.deadline_ms / 1_000 + 2.0
+        body = {"body": {"text": text}, "ticket": ticket}
         try:
-            reply = await directory.ask(path, content, timeout_s)
+            reply = await self._post(stream, directory, path, body)
         except (*LOST_ERRORS, TimeoutError) as error:
             return f"lost:{type(error).__name__}"
         answer = msgspec.json.decode(reply.content)
