--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/http1/caller.py
@@ -0,0 +1,107 @@
+"""Calls to one HTTP server over a few kept connections."""
+
+import asyncio
+import itertools
+
+from snipesaddle._internal.adapters.http1.client import (
+    ClientConnection,
+    HttpResponse,
+    ResponseListener,
+    connect,
+)
+
+
+class CallFailedError(Exception):
+    """A call got no response; it may have taken effect."""
+
+
+class HttpCaller(ResponseListener):
+    """Makes calls; a connection on which one failed is not used again."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._ids = itertools.count(1)
+        self._idle: list[ClientConnection] = []
+        self._waiting: dict[int, asyncio.Future[HttpResponse]] = {}
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> HttpResponse:
+        """Makes one call.
+
+        Args:
+          target: the path with its query.
+          body: JSON, or nothing.
+
+        Raises:
+          CallFailedError: no response came in time.
+        """
+        future: asyncio.Future[HttpResponse] = (
+            asyncio.get_running_loop().create_future()
+        )
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._take(timeout_s)
+                self._waiting[connection.connection_id] = future
+                connection.send(self._encode(method, target, body))
+                return await future
+        except (OSError, TimeoutError) as error:
+            raise CallFailedError(str(error) or "timed out") from error
+        finally:
+            if connection is not None:
+                self._waiting.pop(connection.connection_id, None)
+                if connection.is_busy:
+                    connection.close()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def is_expected(
+        self, connection: ClientConnection, response: HttpResponse
+    ) -> bool:
+        del connection, response
+        return True
+
+    def on_response(
+        self,
+        connection: ClientConnection,
+        response: HttpResponse,
+        reusable: bool,
+    ) -> None:
+        future = self._waiting.pop(connection.connection_id, None)
+        if reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        if future is not None and not future.done():
+            future.set_result(response)
+
+    def on_end(self, connection: ClientConnection, detail: str) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+        future = self._waiting.pop(connection.connection_id, None)
+        if future is not None and not future.done():
+            future.set_exception(ConnectionError(detail))
+
+    async def _take(self, timeout_s: float) -> ClientConnection:
+        if self._idle:
+            return self._idle.pop()
+        connection = ClientConnection(next(self._ids), self)
+        await connect(self._address, connection, timeout_s)
+        return connection
+
+    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
+        if body:
+            lines.append("Content-Type: application/json")
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join([*lines, "", ""]).encode() + body
--- a/src/snipesaddle/_internal/adapters/zmq_peer.py
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -1,6 +1,7 @@
 """Messages between entry nodes over ZeroMQ push and pull sockets."""
 
-from typing import Any, get_args
+from collections.abc import Iterable
+from typing import Any
 
 import anyio
 import msgspec
@@ -8,17 +9,12 @@
 from absl import logging
 
 from snipesaddle._internal.ports.peer_transport import PeerTransport, Receive
-from snipesaddle._internal.tables.messages import PeerMessage
 
 _SEND_QUEUE = 1_000
 # Constant: a growing delay kept a restarted peer unreachable for a second.
 _RECONNECT_MS = 100
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
-_MESSAGE_TYPES: dict[bytes, type[Any]] = {
-    kind.__name__.encode(): kind for kind in get_args(PeerMessage)
-}
-
 
 class ZmqPeerTransport(PeerTransport):
     """Pushes to each peer's pull socket.
@@ -27,12 +23,14 @@
     a process that may start later at the same address.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, message_types: Iterable[type[Any]]
+    ) -> None:
         self._context = zmq.Context()
         self._encode = msgspec.msgpack.Encoder().encode
         self._decoders = {
-            name: msgspec.msgpack.Decoder(kind)
-            for name, kind in _MESSAGE_TYPES.items()
+            kind.__name__.encode(): msgspec.msgpack.Decoder(kind)
+            for kind in message_types
         }
         self._push: dict[str, zmq.Socket[bytes]] = {}
         self._pull = self._context.socket(zmq.PULL)
@@ -40,7 +38,7 @@
         self._pull.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         self._pull.bind(f"tcp://{address}")
 
-    def send(self, peer_address: str, message: PeerMessage) -> int:
+    def send(self, peer_address: str, message: object) -> int:
         name = type(message).__name__.encode()
         body = self._encode(message)
         try:
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/forward_dispatcher.py
@@ -0,0 +1,121 @@
+"""Carries out the commands of the forwarding tier's systems."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from snipesaddle._internal.metrics.decision_log import DecisionLog
+from snipesaddle._internal.metrics.outcomes import OutcomeHistograms
+from snipesaddle._internal.ports.forwarding import (
+    ClientFront,
+    EndpointTransport,
+    MirrorStore,
+)
+from snipesaddle._internal.ports.peer_transport import PeerTransport
+from snipesaddle._internal.tables.forwarding import commands
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardPorts:
+    """The adapters of one node."""
+
+    endpoints: EndpointTransport
+    front: ClientFront
+    store: MirrorStore
+    peers: PeerTransport
+
+
+class ForwardDispatcher:
+    """Runs most commands at once; a task waits for the slow ones."""
+
+    def __init__(
+        self,
+        world: ForwardWorld,
+        ports: ForwardPorts,
+        log: DecisionLog,
+        histograms: OutcomeHistograms,
+    ) -> None:
+        self._world = world
+        self._ports = ports
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.stopped = asyncio.Event()
+        front = ports.front
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            commands.SendAttempt: ports.endpoints.send,
+            commands.OpenConnection: self._open,
+            commands.CloseConnection: self._close,
+            commands.PassAnswer: front.pass_answer,
+            commands.MergedAnswer: front.merged_answer,
+            commands.RefuseClient: front.refuse,
+            commands.AnswerDirectory: front.answer_directory,
+            commands.SetReadiness: lambda c: front.set_readiness(c.ready),
+            commands.SetClientLimits: lambda c: front.set_limits(c.limits),
+            commands.CloseIdleClients: lambda _: front.close_idle(),
+            commands.ListRange: self._list,
+            commands.WatchRange: self._watch,
+            commands.WritePresence: self._write_presence,
+            commands.RenewPresence: self._renew_presence,
+            commands.RemovePresence: self._remove_presence,
+            commands.SendToNode: self._send_to_node,
+            commands.DropNode: lambda c: ports.peers.drop(c.peer_address),
+            commands.StopProcess: lambda _: self.stopped.set(),
+            commands.RecordOutcome: histograms.record,
+            commands.LogDecision: lambda c: log.write(c.event, c.fields),
+        }
+
+    def dispatch(self, command: commands.Command) -> None:
+        """Carries out one command, or starts to."""
+        self._handlers[type(command)](command)
+
+    def cancel(self) -> None:
+        """Ends the tasks that still wait."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _open(self, command: commands.OpenConnection) -> None:
+        async def run() -> None:
+            await self._ports.endpoints.open(command)
+
+        self._start(run())
+
+    def _close(self, command: commands.CloseConnection) -> None:
+        self._ports.endpoints.close(command.connection_id)
+
+    def _list(self, command: commands.ListRange) -> None:
+        async def run() -> None:
+            self._world.inbox.put(await self._ports.store.list(command))
+
+        self._start(run())
+
+    def _watch(self, command: commands.WatchRange) -> None:
+        async def run() -> None:
+            self._world.inbox.put(await self._ports.store.watch(command))
+
+        self._start(run())
+
+    def _write_presence(self, command: commands.WritePresence) -> None:
+        async def run() -> None:
+            event = await self._ports.store.write_presence(command)
+            self._world.inbox.put(event)
+
+        self._start(run())
+
+    def _renew_presence(self, command: commands.RenewPresence) -> None:
+        async def run() -> None:
+            event = await self._ports.store.renew_presence(command)
+            self._world.inbox.put(event)
+
+        self._start(run())
+
+    def _remove_presence(self, command: commands.RemovePresence) -> None:
+        self._start(self._ports.store.remove_presence(command))
+
+    def _send_to_node(self, command: commands.SendToNode) -> None:
+        self._ports.peers.send(command.peer_address, command.message)
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/forward_node.py
@@ -0,0 +1,203 @@
+"""One entry node of the forwarding tier, put together."""
+
+import asyncio
+import gc
+import random
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import get_args
+
+from absl import logging
+
+from snipesaddle._internal.adapters.http1.server import (
+    HttpRequest,
+    HttpServer,
+    RequestHandler,
+)
+from snipesaddle._internal.adapters.zmq_peer import ZmqPeerTransport
+from snipesaddle._internal.daemon import reactor
+from snipesaddle._internal.daemon.forward_dispatcher import (
+    ForwardDispatcher,
+    ForwardPorts,
+)
+from snipesaddle._internal.errors import SettingsError
+from snipesaddle._internal.metrics import decision_log
+from snipesaddle._internal.metrics.decision_log import DecisionLog
+from snipesaddle._internal.metrics.outcomes import OutcomeHistograms
+from snipesaddle._internal.models.forwarding import (
+    ForwardSettings,
+    load_settings,
+)
+from snipesaddle._internal.ports.forwarding import (
+    ClientFront,
+    EndpointTransport,
+    MirrorStore,
+)
+from snipesaddle._internal.systems.forwarding.schedule import ForwardSchedule
+from snipesaddle._internal.tables.forwarding import events
+from snipesaddle._internal.tables.forwarding.fleet import ThisNode
+from snipesaddle._internal.tables.forwarding.messages import (
+    ConfigShare,
+    FleetMessage,
+)
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.inbox import Inbox
+
+_GC_THRESHOLD = 20_000
+
+
+def build_world(settings: ForwardSettings, incarnation: str) -> ForwardWorld:
+    """Returns the empty tables of a node that starts now."""
+    node = settings.node
+    seed = settings.seed
+    return ForwardWorld(
+        settings=settings,
+        me=ThisNode(
+            node_id=node.name,
+            incarnation=incarnation,
+            front_address=node.front,
+            peer_address=node.peer,
+            zone=node.zone,
+        ),
+        rng=random.Random(secrets.randbits(64) if seed is None else seed),
+    )
+
+
+def new_incarnation() -> str:
+    """Returns a name for this run of the process; later runs sort higher."""
+    started_unix_ms = time.time_ns() // 1_000_000
+    return f"{started_unix_ms:012x}-{secrets.token_hex(4)}"
+
+
+class ForwardNode:
+    """Runs the tables of one node with the adapters given."""
+
+    def __init__(
+        self, settings: ForwardSettings, path: Path, stack: ExitStack
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._stack = stack
+        self._log = DecisionLog(settings.node.name)
+        decision_log.set_up_absl(self._log)
+        self._world = build_world(settings, new_incarnation())
+        self._histograms = OutcomeHistograms()
+
+    @property
+    def inbox(self) -> Inbox:
+        """Returns where adapters put their events."""
+        return self._world.inbox
+
+    @property
+    def now_ns(self) -> Callable[[], int]:
+        """Returns the clock."""
+        return reactor.now_ns
+
+    async def run(
+        self,
+        endpoints: EndpointTransport,
+        front: ClientFront,
+        store: MirrorStore,
+    ) -> None:
+        """Runs until the node has left."""
+        peers = ZmqPeerTransport(
+            self._settings.node.peer, get_args(FleetMessage)
+        )
+        self._stack.callback(peers.close)
+        ports = ForwardPorts(endpoints, front, store, peers)
+        dispatcher = ForwardDispatcher(
+            self._world, ports, self._log, self._histograms
+        )
+        self._stack.callback(dispatcher.cancel)
+        loop = asyncio.get_running_loop()
+        receiving = loop.create_task(
+            peers.receive(lambda message: self._deliver(store, message))
+        )
+        self._stack.callback(receiving.cancel)
+        self._watch_signals(loop)
+        await self._serve_metrics()
+        self._log.write(
+            "started",
+            {
+                "incarnation": self._world.me.incarnation,
+                "zone": self._settings.node.zone,
+            },
+        )
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(_GC_THRESHOLD)
+        reactor.Reactor(
+            self._world, ForwardSchedule(), dispatcher.dispatch
+        ).start()
+        await dispatcher.stopped.wait()
+        self._log.write("stopped", {})
+
+    def _deliver(self, store: MirrorStore, message: object) -> None:
+        if not isinstance(message, ConfigShare):
+            self._world.inbox.put(message)
+            return
+        if message.version <= self._world.active.version:
+            return
+        config = store.decode_config(message.source)
+        if config is None:
+            logging.warning("a peer's configuration cannot be read")
+            return
+        self._world.inbox.put(events.ConfigShared(config))
+
+    def _watch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(
+                number, self._world.inbox.put, events.LeaveAsked()
+            )
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            logging.error("settings are kept as they were: %s", error)
+            return
+        changed = settings != self._settings
+        self._settings = settings
+        self._world.settings = settings
+        self._log.write("reloaded", {"changed": changed})
+
+    async def _serve_metrics(self) -> None:
+        server = HttpServer(_Metrics(self._world, self._histograms))
+        handler = server.handler
+        assert isinstance(handler, _Metrics)
+        handler.server = server
+        try:
+            await server.start(self._settings.node.metrics)
+        except OSError as error:
+            logging.error("metrics are not served: %s", error)
+            return
+        self._stack.callback(server.stop)
+
+
+class _Metrics(RequestHandler):
+    """Serves the metrics of this node as text."""
+
+    def __init__(
+        self, world: ForwardWorld, histograms: OutcomeHistograms
+    ) -> None:
+        self._world = world
+        self._histograms = histograms
+        self.server: HttpServer | None = None
+
+    def on_request(self, client_id: int, request: HttpRequest) -> None:
+        del request
+        assert self.server is not None
+        body = self._histograms.text(self._world).encode()
+        fields = (
+            (b"Content-Type", b"text/plain; version=0.0.4"),
+            (b"Content-Length", b"%d" % len(body)),
+        )
+        self.server.respond(client_id, 200, b"OK", fields, body)
+
+    def on_gone(self, client_id: int) -> None:
+        del client_id
--- a/src/snipesaddle/_internal/daemon/node.py
+++ b/src/snipesaddle/_internal/daemon/node.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from contextlib import AsyncExitStack
+from typing import get_args
 
 import anyio
 from absl import logging
@@ -23,6 +24,7 @@
 from snipesaddle._internal.metrics.histograms import Histograms
 from snipesaddle._internal.models.settings import Settings
 from snipesaddle._internal.systems.schedule import Schedule
+from snipesaddle._internal.tables.messages import PeerMessage
 from snipesaddle._internal.tables.nodes import Self
 from snipesaddle._internal.tables.world import World
 
@@ -83,7 +85,7 @@
     stack.push_async_callback(leaves.aclose)
     vm_list = HttpVmList(settings.platform)
     stack.push_async_callback(vm_list.aclose)
-    peers = ZmqPeerTransport(settings.node.peer)
+    peers = ZmqPeerTransport(settings.node.peer, get_args(PeerMessage))
     stack.callback(peers.close)
     return Ports(
         leaves=leaves,
--- /dev/null
+++ b/src/snipesaddle/_internal/daemon/reactor.py
@@ -0,0 +1,73 @@
+"""The tick loop of the forwarding tier, driven by the event loop.
+
+A tick follows the callbacks that put events, in the same turn of the event
+loop, and no task runs for it. Between ticks nothing runs but one timer.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from snipesaddle._internal.systems.forwarding.schedule import ForwardSchedule
+from snipesaddle._internal.tables.forwarding.commands import Command
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+_NS_PER_S = 1_000_000_000
+
+
+class Reactor:
+    """Ticks when events came or a timer is due."""
+
+    def __init__(
+        self,
+        world: ForwardWorld,
+        schedule: ForwardSchedule,
+        dispatch: Callable[[Command], None],
+    ) -> None:
+        self._world = world
+        self._schedule = schedule
+        self._dispatch = dispatch
+        self._loop = asyncio.get_running_loop()
+        self._is_due = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due_ns = 0
+        world.inbox.on_event(self._on_event)
+
+    def start(self) -> None:
+        """Sets the first timers and ticks for the first time."""
+        self._schedule.start(self._world, now_ns())
+        self._on_event()
+
+    def _on_event(self) -> None:
+        if not self._is_due:
+            self._is_due = True
+            self._loop.call_soon(self._tick)
+
+    def _tick(self) -> None:
+        self._is_due = False
+        for command in self._schedule.tick(self._world, now_ns()):
+            self._dispatch(command)
+        if not self._is_due:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        due_ns = self._world.timers.next_due_ns()
+        if due_ns == self._timer_due_ns and self._timer is not None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if due_ns is None:
+            return
+        self._timer_due_ns = due_ns
+        delay_s = max(0.0, (due_ns - now_ns()) / _NS_PER_S)
+        self._timer = self._loop.call_later(delay_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._on_event()
+
+
+def now_ns() -> int:
+    """Returns the time of the steady clock."""
+    return time.monotonic_ns()
--- a/src/snipesaddle/_internal/errors.py
+++ b/src/snipesaddle/_internal/errors.py
@@ -54,6 +54,10 @@
         return [error.finding for error in self.exceptions]  # type: ignore[union-attr]
 
 
+class SettingsError(SnipesaddleError):
+    """A settings file cannot be used; the message names the field."""
+
+
 class StoreUnavailableError(SnipesaddleError):
     """The store did not answer; whether a write took effect is not known."""
 
--- a/src/snipesaddle/_internal/ports/peer_transport.py
+++ b/src/snipesaddle/_internal/ports/peer_transport.py
@@ -3,16 +3,14 @@
 import abc
 from collections.abc import Callable
 
-from snipesaddle._internal.tables.messages import PeerMessage
-
-Receive = Callable[[PeerMessage], None]
+Receive = Callable[[object], None]
 
 
 class PeerTransport(abc.ABC):
     """Carries one-way messages; a message may be lost, none comes twice."""
 
     @abc.abstractmethod
-    def send(self, peer_address: str, message: PeerMessage) -> int:
+    def send(self, peer_address: str, message: object) -> int:
         """Sends a message, or drops it when the peer is not connected.
 
         Returns:
--- a/src/snipesaddle/_internal/systems/base.py
+++ b/src/snipesaddle/_internal/systems/base.py
@@ -1,10 +1,10 @@
 """The base class of the systems."""
 
-import abc
-
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.world import World
 
-NS_PER_MS = 1_000_000
+__all__ = ["NS_PER_MS", "System", "on_grid"]
+
 # Periodic work falls on this grid, so that one wake-up serves many timers.
 _GRID_NS = 250 * NS_PER_MS
 
@@ -19,17 +19,5 @@
     return due_ns // _GRID_NS * _GRID_NS
 
 
-class System(abc.ABC):
-    """One group of decisions.
-
-    A system reads events and rows, and writes rows and commands. It touches
-    no socket, no encoder and no clock.
-    """
-
-    def start(self, world: World, now_ns: int) -> None:
-        """Sets the first timers; called once before the first tick."""
-        del world, now_ns
-
-    @abc.abstractmethod
-    def run(self, world: World, now_ns: int) -> None:
-        """Decides on all that is new or due at now_ns."""
+class System(TickSystem[World]):
+    """One group of decisions over the tables of searches and executions."""
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the forwarding tier; no socket, no encoder and no clock."""
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -0,0 +1,154 @@
+"""Arrivals: takes requests on, or refuses them before any work."""
+
+from snipesaddle._internal.systems.forwarding import (
+    attempts,
+    completion,
+    hedging,
+    placement,
+)
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.commands import (
+    Refusal,
+    RefuseClient,
+)
+from snipesaddle._internal.tables.forwarding.events import (
+    ClientGone,
+    RequestArrived,
+)
+from snipesaddle._internal.tables.forwarding.fleet import NodePhase
+from snipesaddle._internal.tables.forwarding.requests import (
+    ArrivedRequest,
+    Part,
+    Request,
+)
+from snipesaddle._internal.tables.forwarding.routes import Route
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.timers import TimerKind
+
+# What the answer needs for its way to the client, a new connection included.
+_AIM_MARGIN_MS = 12
+_AIM_MARGIN_SHARE = 0.03
+_RETURN_MS = 8
+_STARTING_RETRY_MS = 300
+
+
+class ArrivalsSystem(TickSystem[ForwardWorld]):
+    """Turns arrived requests into rows with their parts."""
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        for gone in world.inbox.take(ClientGone):
+            self._gone(world, gone.client_id, now_ns)
+        for event in world.inbox.take(RequestArrived):
+            self._arrived(world, event.request, event.arrived_ns, now_ns)
+
+    def _gone(self, world: ForwardWorld, client_id: int, now_ns: int) -> None:
+        request_id = world.clients.pop(client_id, None)
+        request = world.requests.get(request_id) if request_id else None
+        if request is None:
+            return
+        world.counters.clients_gone += 1
+        completion.remove(world, request)
+        for part in request.parts:
+            for attempt_id in part.attempts:
+                attempts.cancel(world, attempt_id, now_ns)
+
+    def _arrived(
+        self,
+        world: ForwardWorld,
+        arrived: ArrivedRequest,
+        arrived_ns: int,
+        now_ns: int,
+    ) -> None:
+        world.counters.requests += 1
+        if world.active.version == 0:
+            self._refuse(world, arrived, Refusal.NOT_RUN, "no configuration")
+            return
+        path = arrived.target.partition(b"?")[0]
+        route = world.active.index.find(arrived.host, path)
+        if route is None:
+            self._refuse(world, arrived, Refusal.NO_ROUTE, "no route")
+            return
+        if not arrived.request_key:
+            self._refuse(world, arrived, Refusal.BAD_REQUEST, "no request id")
+            return
+        if arrived.time_limit_ms is not None and arrived.time_limit_ms <= 0:
+            self._refuse(world, arrived, Refusal.NOT_RUN, "no time left")
+            return
+        request = self._make(world, arrived, route, arrived_ns)
+        world.requests[request.request_id] = request
+        world.clients[arrived.client_id] = request.request_id
+        for index, part in enumerate(request.parts):
+            world.window(part.service).count_request(now_ns)
+            world.pending.append((request.request_id, index))
+        first_ns = _first_look_ns(world, request, now_ns)
+        world.timers.set(TimerKind.REQUEST, request.request_id, first_ns)
+
+    def _make(
+        self,
+        world: ForwardWorld,
+        arrived: ArrivedRequest,
+        route: Route,
+        arrived_ns: int,
+    ) -> Request:
+        limit_ms = route.timeout_ms
+        if arrived.time_limit_ms is not None:
+            own_ms = max(1, arrived.time_limit_ms - _RETURN_MS)
+            limit_ms = min(limit_ms, own_ms)
+        target_ms = route.target_latency_ms
+        aim_ms = target_ms * (1 - _AIM_MARGIN_SHARE) - _AIM_MARGIN_MS
+        services = route.shards or (choose_target(world, route),)
+        return Request(
+            request_id=world.next_id(),
+            arrived=arrived,
+            route=route,
+            config_version=world.active.version,
+            arrived_ns=arrived_ns,
+            aim_ns=arrived_ns + int(max(1.0, aim_ms) * NS_PER_MS),
+            deadline_ns=arrived_ns + limit_ms * NS_PER_MS,
+            parts=[Part(service) for service in services],
+            open_parts=len(services),
+        )
+
+    def _refuse(
+        self,
+        world: ForwardWorld,
+        arrived: ArrivedRequest,
+        refusal: str,
+        detail: str,
+    ) -> None:
+        world.counters.refused += 1
+        retry_ms = _STARTING_RETRY_MS if refusal is Refusal.NOT_RUN else 0
+        world.log(
+            "request_refused",
+            request=arrived.request_key,
+            refusal=refusal,
+            detail=detail,
+            config_version=world.active.version,
+        )
+        closing = world.me.phase is NodePhase.LEAVING
+        world.emit(
+            RefuseClient(arrived.client_id, refusal, detail, retry_ms, closing)
+        )
+
+
+def _first_look_ns(world: ForwardWorld, request: Request, now_ns: int) -> int:
+    first_ns = hedging.next_look_ns(request, now_ns)
+    if not request.route.idempotent:
+        return first_ns
+    return min(first_ns, now_ns + placement.hedge_delay_ns(world, request))
+
+
+def choose_target(world: ForwardWorld, route: Route) -> str:
+    """Returns the service whose turn it is, by smooth weighted turns."""
+    targets = route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    credits_ = world.splits.get(route.name)
+    if credits_ is None or len(credits_) != len(targets):
+        credits_ = [world.rng.random() * target.weight for target in targets]
+        world.splits[route.name] = credits_
+    for index, target in enumerate(targets):
+        credits_[index] += target.weight
+    best = max(range(len(targets)), key=credits_.__getitem__)
+    credits_[best] -= sum(target.weight for target in targets)
+    return targets[best].service
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -0,0 +1,203 @@
+"""Attempts: what connections and answers mean for endpoints and parts."""
+
+from snipesaddle._internal.systems.forwarding import (
+    connections,
+    placement,
+    standing,
+)
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.commands import CloseConnection
+from snipesaddle._internal.tables.forwarding.endpoints import (
+    EndpointConnection,
+)
+from snipesaddle._internal.tables.forwarding.events import (
+    AttemptAnswered,
+    ConnectionEnded,
+    ConnectionOpened,
+)
+from snipesaddle._internal.tables.forwarding.requests import Attempt
+from snipesaddle._internal.tables.forwarding.world import (
+    EndedAttempt,
+    ForwardWorld,
+    LostAttempt,
+)
+from snipesaddle._internal.tables.timers import TimerKind
+
+# How long an attempt that nobody waits for may still run, so that its
+# connection survives and its latency is learnt.
+_ABANDONED_NS = 200 * NS_PER_MS
+# A connection that took longer than this to open is held to be stuck.
+_CONNECT_NS = 300 * NS_PER_MS
+_MISDIRECTED = 421
+
+
+def abandon(world: ForwardWorld, attempt_id: int, now_ns: int) -> None:
+    """Lets an attempt run out that nobody waits for any more."""
+    attempt = world.attempts.get(attempt_id)
+    if attempt is None:
+        return
+    attempt.abandoned = True
+    world.timers.set(TimerKind.ATTEMPT, attempt_id, now_ns + _ABANDONED_NS)
+
+
+def cancel(world: ForwardWorld, attempt_id: int, now_ns: int) -> None:
+    """Ends an attempt at once, by closing its connection."""
+    attempt = world.attempts.get(attempt_id)
+    if attempt is None:
+        return
+    connection = world.connections.get(attempt.connection_id)
+    drop(world, attempt, now_ns)
+    if connection is not None:
+        connections.forget(world, connection)
+        world.emit(CloseConnection(connection.connection_id))
+
+
+def drop(world: ForwardWorld, attempt: Attempt, now_ns: int) -> None:
+    """Removes the row of an attempt that has ended."""
+    world.attempts.pop(attempt.attempt_id, None)
+    world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
+    endpoint = world.endpoints.get(attempt.endpoint_id)
+    if endpoint is None:
+        return
+    endpoint.in_flight -= 1
+    if attempt.sent_ns:
+        standing.check_silence(world, endpoint, attempt.route_name, now_ns)
+    elif now_ns - attempt.chosen_ns > _CONNECT_NS:
+        standing.note_failure(world, endpoint, now_ns, "slow to connect")
+
+
+class AttemptsSystem(TickSystem[ForwardWorld]):
+    """Takes in what happened on the connections to the endpoints."""
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        world.ended.clear()
+        world.lost.clear()
+        for opened in world.inbox.take(ConnectionOpened):
+            self._opened(world, opened, now_ns)
+        for answered in world.inbox.take(AttemptAnswered):
+            self._answered(world, answered, now_ns)
+        for ended in world.inbox.take(ConnectionEnded):
+            self._ended(world, ended, now_ns)
+        for key in world.timers.pop_due(TimerKind.ATTEMPT, now_ns):
+            assert isinstance(key, int)
+            cancel(world, key, now_ns)
+
+    def _opened(
+        self, world: ForwardWorld, event: ConnectionOpened, now_ns: int
+    ) -> None:
+        connection = world.connections.get(event.connection_id)
+        if connection is None:
+            return
+        attempt = world.attempts.get(connection.attempt_id)
+        endpoint = world.endpoints.get(connection.endpoint_id)
+        if attempt is None or attempt.abandoned or endpoint is None:
+            if attempt is not None:
+                drop(world, attempt, now_ns)
+            connections.give_back(world, connection, now_ns, 0)
+            return
+        found = placement.open_part(
+            world, attempt.request_id, attempt.part_index
+        )
+        if found is None or not endpoint.accepts_work():
+            self._unsent(world, connection, attempt, now_ns)
+            return
+        placement.send(world, found[0], attempt, endpoint, now_ns)
+
+    def _unsent(
+        self,
+        world: ForwardWorld,
+        connection: EndpointConnection,
+        attempt: Attempt,
+        now_ns: int,
+    ) -> None:
+        drop(world, attempt, now_ns)
+        connections.give_back(world, connection, now_ns, 0)
+        world.lost.append(LostAttempt(attempt, False, "not needed here"))
+
+    def _answered(
+        self, world: ForwardWorld, event: AttemptAnswered, now_ns: int
+    ) -> None:
+        connection = world.connections.get(event.connection_id)
+        if connection is not None:
+            self._release(world, connection, event, now_ns)
+        attempt = world.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        drop_without_silence(world, attempt)
+        self._judge(world, attempt, event, now_ns)
+        if not attempt.abandoned:
+            world.ended.append(EndedAttempt(attempt, event))
+
+    def _release(
+        self,
+        world: ForwardWorld,
+        connection: EndpointConnection,
+        event: AttemptAnswered,
+        now_ns: int,
+    ) -> None:
+        if event.reusable:
+            connections.give_back(
+                world, connection, now_ns, event.keep_alive_ms
+            )
+            return
+        connections.forget(world, connection)
+        world.emit(CloseConnection(connection.connection_id))
+
+    def _judge(
+        self,
+        world: ForwardWorld,
+        attempt: Attempt,
+        event: AttemptAnswered,
+        now_ns: int,
+    ) -> None:
+        endpoint = world.endpoints.get(attempt.endpoint_id)
+        if endpoint is None:
+            return
+        standing.note_answer(endpoint, now_ns)
+        answer = event.answer
+        if answer.status == _MISDIRECTED:
+            standing.note_failure(world, endpoint, now_ns, "misdirected")
+        elif answer.not_run:
+            world.counters.endpoint_refusals += 1
+            standing.note_refusal(endpoint, now_ns)
+        else:
+            failed = answer.status >= 500
+            standing.note_quality(endpoint, failed, now_ns)
+            if not failed:
+                standing.note_latency(
+                    endpoint,
+                    world.latency(attempt.route_name),
+                    now_ns - attempt.sent_ns,
+                    now_ns,
+                )
+
+    def _ended(
+        self, world: ForwardWorld, event: ConnectionEnded, now_ns: int
+    ) -> None:
+        connection = world.connections.get(event.connection_id)
+        if connection is None:
+            return
+        connections.forget(world, connection)
+        attempt = world.attempts.get(connection.attempt_id)
+        if attempt is None:
+            return
+        drop_without_silence(world, attempt)
+        world.counters.connections_lost += 1
+        endpoint = world.endpoints.get(attempt.endpoint_id)
+        if endpoint is not None:
+            if event.opened:
+                standing.note_quality(endpoint, True, now_ns)
+            else:
+                standing.note_failure(world, endpoint, now_ns, event.detail)
+        if not attempt.abandoned:
+            sent = attempt.sent_ns > 0
+            world.lost.append(LostAttempt(attempt, sent, event.detail))
+
+
+def drop_without_silence(world: ForwardWorld, attempt: Attempt) -> None:
+    """Removes the row of an attempt whose end says enough by itself."""
+    world.attempts.pop(attempt.attempt_id, None)
+    world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
+    endpoint = world.endpoints.get(attempt.endpoint_id)
+    if endpoint is not None:
+        endpoint.in_flight -= 1
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -0,0 +1,234 @@
+"""Completion: when a request gets its answer, and which one."""
+
+import abc
+import heapq
+import math
+
+from snipesaddle._internal.systems.forwarding import attempts
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.commands import (
+    Command,
+    MergedAnswer,
+    PassAnswer,
+    RecordOutcome,
+    Refusal,
+    RefuseClient,
+)
+from snipesaddle._internal.tables.forwarding.fleet import NodePhase
+from snipesaddle._internal.tables.forwarding.requests import (
+    EndpointAnswer,
+    PartState,
+    Request,
+)
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.timers import TimerKind
+
+RECORD_BYTES = 16
+_RETRY_MS = 100
+# Statuses that promise a client that its request has not run.
+_PROMISES = frozenset({408, 421, 429, 503})
+# One whole answer in so many is logged; all others are.
+_LOG_EVERY = 32
+
+
+class Composer(abc.ABC):
+    """Decides when the parts of a request make an answer, and composes it."""
+
+    @abc.abstractmethod
+    def compose(
+        self, world: ForwardWorld, request: Request, now_ns: int
+    ) -> Command | None:
+        """Returns the final answer, or None while waiting is better."""
+
+
+class PassComposer(Composer):
+    """Gives the client the answer of the one endpoint asked."""
+
+    def compose(
+        self, world: ForwardWorld, request: Request, now_ns: int
+    ) -> Command | None:
+        part = request.parts[0]
+        answer = part.answer
+        if answer is None and part.state is PartState.MISSING:
+            answer = part.failure
+        if answer is not None and _may_pass(answer):
+            client_id = request.arrived.client_id
+            return PassAnswer(client_id, answer, _is_leaving(world))
+        if part.state in (PartState.MISSING, PartState.ANSWERED):
+            return refuse(world, request, Refusal.FAILED)
+        if now_ns >= request.deadline_ns:
+            return refuse(world, request, Refusal.TIMEOUT)
+        return None
+
+
+class MergeComposer(Composer):
+    """Merges the greatest records of the shards that answered.
+
+    Until the target latency, waiting for all shards is best. From then on an
+    answer with enough shards is worth more than a later one with all.
+    """
+
+    def compose(
+        self, world: ForwardWorld, request: Request, now_ns: int
+    ) -> Command | None:
+        total = len(request.parts)
+        answered = [part.answer for part in request.parts if part.answer]
+        needed = max(1, math.ceil(request.route.min_coverage * total - 1e-9))
+        enough = len(answered) >= needed
+        if enough and (request.open_parts == 0 or now_ns >= request.aim_ns):
+            return self._merge(world, request, answered)
+        if len(answered) + request.open_parts < needed:
+            return refuse(world, request, Refusal.FAILED)
+        if now_ns < request.deadline_ns:
+            return None
+        if enough:
+            return self._merge(world, request, answered)
+        return refuse(world, request, Refusal.TIMEOUT)
+
+    def _merge(
+        self,
+        world: ForwardWorld,
+        request: Request,
+        answered: list[EndpointAnswer],
+    ) -> Command:
+        return MergedAnswer(
+            client_id=request.arrived.client_id,
+            body=merge_records(
+                [answer.body for answer in answered], request.route.top_k
+            ),
+            signatures=tuple(answer.signature for answer in answered),
+            missing=len(request.parts) - len(answered),
+            closing=_is_leaving(world),
+        )
+
+
+class CompletionSystem(TickSystem[ForwardWorld]):
+    """Answers the requests that have come to their end."""
+
+    def __init__(self) -> None:
+        self._pass = PassComposer()
+        self._merge = MergeComposer()
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        if not world.touched:
+            return
+        touched, world.touched = world.touched, {}
+        for request_id in touched:
+            request = world.requests.get(request_id)
+            if request is not None:
+                self._complete(world, request, now_ns)
+
+    def _complete(
+        self, world: ForwardWorld, request: Request, now_ns: int
+    ) -> None:
+        composer = self._merge if request.route.shards else self._pass
+        answer = composer.compose(world, request, now_ns)
+        if answer is None:
+            return
+        world.emit(answer)
+        _record(world, request, answer, now_ns)
+        finish(world, request, now_ns)
+
+
+def finish(world: ForwardWorld, request: Request, now_ns: int) -> None:
+    """Ends an answered request; its attempts in flight run out."""
+    remove(world, request)
+    late = now_ns >= request.deadline_ns or not request.route.idempotent
+    for part in request.parts:
+        for attempt_id in part.attempts:
+            if late:
+                attempts.cancel(world, attempt_id, now_ns)
+            else:
+                attempts.abandon(world, attempt_id, now_ns)
+
+
+def remove(world: ForwardWorld, request: Request) -> None:
+    """Removes the row of a request."""
+    world.requests.pop(request.request_id, None)
+    world.clients.pop(request.arrived.client_id, None)
+    world.timers.cancel(TimerKind.REQUEST, request.request_id)
+
+
+def refuse(world: ForwardWorld, request: Request, refusal: str) -> RefuseClient:
+    """Returns the final answer for a request that cannot be served.
+
+    It says "not run" only where no endpoint can have run any part of it.
+    """
+    causes = sorted({part.cause.value for part in request.parts})
+    retry_ms = 0
+    if all(part.runs == 0 for part in request.parts):
+        refusal = Refusal.NOT_RUN
+        retry_ms = _RETRY_MS
+    return RefuseClient(
+        client_id=request.arrived.client_id,
+        refusal=refusal,
+        detail=",".join(causes),
+        retry_after_ms=retry_ms,
+        closing=_is_leaving(world),
+    )
+
+
+def merge_records(bodies: list[bytes], top_k: int) -> bytes:
+    """Returns the greatest records of all bodies, greatest first.
+
+    A record has 16 bytes; a shorter rest of a body is none.
+    """
+    records = [
+        body[start : start + RECORD_BYTES]
+        for body in bodies
+        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
+    ]
+    return b"".join(heapq.nlargest(top_k, records))
+
+
+def _may_pass(answer: EndpointAnswer) -> bool:
+    # A client would take these for a promise that the request has not run.
+    return answer.status not in _PROMISES
+
+
+def _is_leaving(world: ForwardWorld) -> bool:
+    return world.me.phase is NodePhase.LEAVING
+
+
+def _record(
+    world: ForwardWorld, request: Request, answer: Command, now_ns: int
+) -> None:
+    outcome = _outcome(world, answer)
+    latency_ns = now_ns - request.arrived_ns
+    world.emit(RecordOutcome(request.route.name, outcome, latency_ns))
+    if outcome == "whole" and world.counters.answered % _LOG_EVERY:
+        return
+    world.log(
+        "request_ended",
+        request=request.arrived.request_key,
+        route=request.route.name,
+        outcome=outcome,
+        detail=answer.detail if isinstance(answer, RefuseClient) else "",
+        latency_ms=latency_ns // NS_PER_MS,
+        config_version=request.config_version,
+        parts=len(request.parts),
+        missing={
+            part.service: part.cause.value
+            for part in request.parts
+            if part.answer is None
+        },
+        hedged=sum(part.hedged for part in request.parts),
+        tried=[part.tried for part in request.parts if part.answer is None],
+    )
+
+
+def _outcome(world: ForwardWorld, answer: Command) -> str:
+    counters = world.counters
+    if isinstance(answer, RefuseClient):
+        if answer.refusal == Refusal.TIMEOUT:
+            counters.timeouts += 1
+        elif answer.refusal == Refusal.NOT_RUN:
+            counters.refused += 1
+        else:
+            counters.failed += 1
+        return answer.refusal
+    counters.answered += 1
+    if isinstance(answer, MergedAnswer) and answer.missing:
+        counters.partial += 1
+        return "partial"
+    return "whole"
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/directory.py
@@ -0,0 +1,77 @@
+"""Directory: tells clients which nodes to use.
+
+Calls between zones are slow and dear, so clients are sent to the nodes in
+whose zones nearly all shards of their routes have an endpoint. When too few
+of these are up, all nodes are named.
+"""
+
+from snipesaddle._internal.systems.forwarding import fleet
+from snipesaddle._internal.systems.tick import TickSystem
+from snipesaddle._internal.tables.forwarding.commands import AnswerDirectory
+from snipesaddle._internal.tables.forwarding.events import DirectoryAsked
+from snipesaddle._internal.tables.forwarding.fleet import NodePhase
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+# A zone is near when it holds endpoints of this share of the shards.
+_NEAR_SHARE = 0.6
+
+
+def near_zones(world: ForwardWorld, host: bytes) -> set[str]:
+    """Returns the zones with endpoints of most shards of a host's routes."""
+    services = {
+        service
+        for route in world.active.index.of_host(host)
+        if route.shards
+        for service in route.shards
+    }
+    counts: dict[str, int] = {}
+    for service in services:
+        for zone in _zones_of(world, service):
+            counts[zone] = counts.get(zone, 0) + 1
+    needed = len(services) * _NEAR_SHARE
+    return {zone for zone, count in counts.items() if count >= needed}
+
+
+def _zones_of(world: ForwardWorld, service: str) -> set[str]:
+    pool = world.pools.get(service)
+    if pool is None:
+        return set()
+    return {
+        endpoint.entry.zone
+        for endpoint in pool.endpoints
+        if endpoint.accepts_work()
+    }
+
+
+class DirectorySystem(TickSystem[ForwardWorld]):
+    """Answers clients that ask where to connect."""
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        asked = world.inbox.take(DirectoryAsked)
+        if not asked:
+            return
+        nodes = [
+            (record.zone, record.front_address)
+            for record in fleet.live_nodes(world, now_ns)
+        ]
+        if world.me.phase is NodePhase.SERVING:
+            nodes.append((world.me.zone, world.me.front_address))
+        for event in asked:
+            self._answer(world, event, nodes)
+
+    def _answer(
+        self,
+        world: ForwardWorld,
+        event: DirectoryAsked,
+        nodes: list[tuple[str, str]],
+    ) -> None:
+        settings = world.settings.directory
+        zones = near_zones(world, event.host)
+        near = [address for zone, address in nodes if zone in zones]
+        if len(near) < settings.min_preferred:
+            near = [address for _, address in nodes]
+        if len(near) > settings.size:
+            near = world.rng.sample(near, settings.size)
+        world.emit(
+            AnswerDirectory(event.client_id, tuple(near), settings.keep_ms)
+        )
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -0,0 +1,174 @@
+"""Endpoints: turns registrations into rows, and lapsed ones out of use."""
+
+from snipesaddle._internal.systems.forwarding import connections
+from snipesaddle._internal.systems.forwarding.configuring import (
+    log_unreadable,
+)
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.endpoints import (
+    Endpoint,
+    EndpointEntry,
+    Registration,
+)
+from snipesaddle._internal.tables.forwarding.messages import EndpointsShare
+from snipesaddle._internal.tables.forwarding.mirrors import (
+    Change,
+    Item,
+    Range,
+    Unreadable,
+)
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.timers import TimerKind
+
+
+class EndpointsSystem(TickSystem[ForwardWorld]):
+    """Keeps the rows of the endpoints and the pools of the services."""
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        listed = world.lists.pop(Range.ENDPOINTS, None)
+        if listed is not None:
+            self._apply_list(world, listed, now_ns)
+        changes = world.changes[Range.ENDPOINTS]
+        if changes:
+            world.changes[Range.ENDPOINTS] = []
+            for change in changes:
+                self._apply_change(world, change, now_ns)
+            mirror = world.mirrors[Range.ENDPOINTS]
+            world.endpoints_revision = mirror.revision
+        for share in world.inbox.take(EndpointsShare):
+            self._apply_share(world, share, now_ns)
+        for key in world.timers.pop_due(TimerKind.ENDPOINT, now_ns):
+            self._end_grace(world, str(key), now_ns)
+
+    def _apply_list(
+        self, world: ForwardWorld, items: dict[str, Item], now_ns: int
+    ) -> None:
+        readable = set()
+        for key, item in items.items():
+            if isinstance(item, EndpointEntry):
+                readable.add(item.endpoint_id)
+                self._upsert(world, item, now_ns)
+            elif isinstance(item, Unreadable):
+                log_unreadable(world, key, item)
+        for endpoint_id in world.endpoints.keys() - readable:
+            self._lapse(world, world.endpoints[endpoint_id], now_ns)
+        revision = world.mirrors[Range.ENDPOINTS].revision
+        world.endpoints_revision = max(world.endpoints_revision, revision)
+
+    def _apply_change(
+        self, world: ForwardWorld, change: Change, now_ns: int
+    ) -> None:
+        if isinstance(change.item, EndpointEntry):
+            self._upsert(world, change.item, now_ns)
+            return
+        endpoint = world.endpoints.get(change.key)
+        if isinstance(change.item, Unreadable):
+            log_unreadable(world, change.key, change.item)
+            if endpoint is not None:
+                self._remove(world, endpoint, "unreadable")
+            return
+        if endpoint is not None:
+            self._lapse(world, endpoint, now_ns)
+
+    def _apply_share(
+        self, world: ForwardWorld, share: EndpointsShare, now_ns: int
+    ) -> None:
+        newer = share.revision > world.endpoints_revision
+        if world.store.is_ok and world.endpoints or not newer:
+            return
+        world.endpoints_revision = share.revision
+        known = set()
+        for entry in share.entries:
+            known.add(entry.endpoint_id)
+            self._upsert(world, entry, now_ns)
+        for endpoint_id in world.endpoints.keys() - known:
+            self._remove(world, world.endpoints[endpoint_id], "peer's list")
+        world.log(
+            "endpoints_from_peer",
+            revision=share.revision,
+            endpoints=len(share.entries),
+        )
+
+    def _upsert(
+        self, world: ForwardWorld, entry: EndpointEntry, now_ns: int
+    ) -> None:
+        endpoint = world.endpoints.get(entry.endpoint_id)
+        if endpoint is not None and _is_another_life(endpoint.entry, entry):
+            self._remove(world, endpoint, "started again")
+            endpoint = None
+        if endpoint is None:
+            endpoint = self._add(world, entry)
+        elif endpoint.entry != entry:
+            world.log(
+                "endpoint_changed",
+                endpoint=entry.endpoint_id,
+                service=entry.service,
+                registration=entry.registration.value,
+            )
+        endpoint.entry = entry
+        endpoint.listed = True
+        endpoint.gone_at_ns = 0
+        endpoint.warm_at_ns = now_ns + entry.warmup_left_ms * NS_PER_MS
+        world.timers.cancel(TimerKind.ENDPOINT, entry.endpoint_id)
+        if entry.registration is Registration.DRAINING:
+            connections.close_idle(world, endpoint)
+        else:
+            world.freed[entry.service] = None
+
+    def _add(self, world: ForwardWorld, entry: EndpointEntry) -> Endpoint:
+        endpoint = Endpoint(entry)
+        world.endpoints[entry.endpoint_id] = endpoint
+        world.pool(entry.service).endpoints.append(endpoint)
+        world.log(
+            "endpoint_added",
+            endpoint=entry.endpoint_id,
+            service=entry.service,
+            zone=entry.zone,
+            registration=entry.registration.value,
+        )
+        return endpoint
+
+    def _lapse(
+        self, world: ForwardWorld, endpoint: Endpoint, now_ns: int
+    ) -> None:
+        if not endpoint.listed:
+            return
+        endpoint.listed = False
+        grace_ns = world.settings.store.grace_ms * NS_PER_MS
+        gone_at_ns = world.store.regained_ns + grace_ns
+        outage = world.store.regained_ns > 0 and gone_at_ns > now_ns
+        if not outage or not endpoint.accepts_work():
+            self._remove(world, endpoint, "lapsed")
+            return
+        endpoint.gone_at_ns = gone_at_ns
+        world.timers.set(TimerKind.ENDPOINT, endpoint.endpoint_id, gone_at_ns)
+
+    def _end_grace(
+        self, world: ForwardWorld, endpoint_id: str, now_ns: int
+    ) -> None:
+        endpoint = world.endpoints.get(endpoint_id)
+        if endpoint is not None and 0 < endpoint.gone_at_ns <= now_ns:
+            self._remove(world, endpoint, "not back after the outage")
+
+    def _remove(
+        self, world: ForwardWorld, endpoint: Endpoint, why: str
+    ) -> None:
+        connections.close_idle(world, endpoint)
+        del world.endpoints[endpoint.endpoint_id]
+        pool = world.pool(endpoint.entry.service)
+        pool.endpoints.remove(endpoint)
+        world.freed[endpoint.entry.service] = None
+        world.log(
+            "endpoint_removed",
+            endpoint=endpoint.endpoint_id,
+            service=endpoint.entry.service,
+            why=why,
+        )
+
+
+def _is_another_life(old: EndpointEntry, new: EndpointEntry) -> bool:
+    return (
+        old.born_unix_ms != new.born_unix_ms
+        or old.address != new.address
+        or old.service != new.service
+    )
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -0,0 +1,107 @@
+"""Presence: this node's record in the store, under a lease."""
+
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.commands import (
+    RemovePresence,
+    RenewPresence,
+    WritePresence,
+)
+from snipesaddle._internal.tables.forwarding.events import (
+    PresenceFailed,
+    PresenceWritten,
+)
+from snipesaddle._internal.tables.forwarding.fleet import (
+    NodePhase,
+    NodeRecord,
+)
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.timers import TimerKind
+
+_RENEWALS_PER_TTL = 3
+_RETRY_NS = 500 * NS_PER_MS
+_PRESENCE = "presence"
+
+
+def record_of_self(world: ForwardWorld) -> NodeRecord:
+    """Returns what this node says of itself now."""
+    me = world.me
+    me.sequence += 1
+    return NodeRecord(
+        node_id=me.node_id,
+        incarnation=me.incarnation,
+        front_address=me.front_address,
+        peer_address=me.peer_address,
+        zone=me.zone,
+        phase=me.phase,
+        config_version=world.active.version,
+        store_ok=world.store.is_ok,
+        endpoints_revision=world.endpoints_revision,
+        sequence=me.sequence,
+    )
+
+
+class PresenceSystem(TickSystem[ForwardWorld]):
+    """Writes the record, renews its lease, and removes it when leaving."""
+
+    def start(self, world: ForwardWorld, now_ns: int) -> None:
+        world.timers.set(TimerKind.PRESENCE, _PRESENCE, now_ns)
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        presence = world.presence
+        for written in world.inbox.take(PresenceWritten):
+            presence.calling = False
+            presence.lease_id = written.lease_id
+            presence.stale = False
+            self._schedule(world, now_ns + self._interval_ns(world))
+        for failed in world.inbox.take(PresenceFailed):
+            self._failed(world, failed, now_ns)
+        for _ in world.timers.pop_due(TimerKind.PRESENCE, now_ns):
+            self._call(world)
+
+    def _failed(
+        self, world: ForwardWorld, event: PresenceFailed, now_ns: int
+    ) -> None:
+        presence = world.presence
+        presence.calling = False
+        if event.lease_lost:
+            presence.lease_id = 0
+            presence.stale = True
+            world.log("lease_lost", detail=event.detail)
+        self._schedule(world, now_ns + _RETRY_NS)
+
+    def _interval_ns(self, world: ForwardWorld) -> int:
+        ttl_ms = world.settings.store.presence_ttl_ms
+        return ttl_ms * NS_PER_MS // _RENEWALS_PER_TTL
+
+    def _schedule(self, world: ForwardWorld, due_ns: int) -> None:
+        world.timers.set(TimerKind.PRESENCE, _PRESENCE, due_ns)
+
+    def _call(self, world: ForwardWorld) -> None:
+        presence = world.presence
+        timeout_ms = world.settings.store.call_timeout_ms
+        if presence.calling:
+            return
+        if world.me.phase is NodePhase.LEAVING:
+            if presence.lease_id:
+                world.emit(RemovePresence(presence.lease_id, timeout_ms))
+                presence.lease_id = 0
+            return
+        presence.calling = True
+        world.counters.store_calls += 1
+        if presence.stale or not presence.lease_id:
+            ttl_ms = world.settings.store.presence_ttl_ms
+            world.emit(
+                WritePresence(
+                    record_of_self(world),
+                    presence.lease_id,
+                    ttl_ms,
+                    timeout_ms,
+                )
+            )
+            return
+        world.emit(RenewPresence(presence.lease_id, timeout_ms))
+
+
+def retract(world: ForwardWorld, now_ns: int) -> None:
+    """Lets the record be removed at once."""
+    world.timers.set(TimerKind.PRESENCE, _PRESENCE, now_ns)
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -0,0 +1,70 @@
+"""The fixed order in which the systems of the forwarding tier run."""
+
+from snipesaddle._internal.systems.forwarding.arrivals import ArrivalsSystem
+from snipesaddle._internal.systems.forwarding.attempts import AttemptsSystem
+from snipesaddle._internal.systems.forwarding.completion import (
+    CompletionSystem,
+)
+from snipesaddle._internal.systems.forwarding.configuring import (
+    ConfiguringSystem,
+)
+from snipesaddle._internal.systems.forwarding.directory import DirectorySystem
+from snipesaddle._internal.systems.forwarding.endpoints import EndpointsSystem
+from snipesaddle._internal.systems.forwarding.fleet import FleetSystem
+from snipesaddle._internal.systems.forwarding.hedging import HedgingSystem
+from snipesaddle._internal.systems.forwarding.lifecycle import LifecycleSystem
+from snipesaddle._internal.systems.forwarding.mirroring import MirroringSystem
+from snipesaddle._internal.systems.forwarding.outcomes import OutcomesSystem
+from snipesaddle._internal.systems.forwarding.placement import PlacementSystem
+from snipesaddle._internal.systems.forwarding.presence import PresenceSystem
+from snipesaddle._internal.systems.forwarding.standing import LatencyChooser
+from snipesaddle._internal.systems.tick import TickSystem
+from snipesaddle._internal.tables.forwarding.commands import Command
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+_MAX_PASSES = 3
+
+
+class ForwardSchedule:
+    """Runs the systems over the tables, in one order.
+
+    What arrives from the store comes before the attempts, these before new
+    requests, and completion after all that may settle a part.
+    """
+
+    def __init__(self) -> None:
+        chooser = LatencyChooser()
+        self._systems: tuple[TickSystem[ForwardWorld], ...] = (
+            MirroringSystem(),
+            ConfiguringSystem(),
+            EndpointsSystem(),
+            FleetSystem(),
+            AttemptsSystem(),
+            OutcomesSystem(),
+            ArrivalsSystem(),
+            HedgingSystem(chooser),
+            PlacementSystem(chooser),
+            CompletionSystem(),
+            LifecycleSystem(),
+            PresenceSystem(),
+            DirectorySystem(),
+        )
+
+    def start(self, world: ForwardWorld, now_ns: int) -> None:
+        """Lets each system set its first timers."""
+        for system in self._systems:
+            system.start(world, now_ns)
+
+    def tick(self, world: ForwardWorld, now_ns: int) -> list[Command]:
+        """Runs the systems and returns the commands that they wrote.
+
+        A second pass follows when a late system made work for an earlier one.
+        """
+        world.counters.ticks += 1
+        for _ in range(_MAX_PASSES):
+            for system in self._systems:
+                system.run(world, now_ns)
+            if not world.pending and not world.freed:
+                break
+        commands, world.outbox = world.outbox, []
+        return commands
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/tick.py
@@ -0,0 +1,24 @@
+"""What every system is, whatever tables it runs over."""
+
+import abc
+from typing import Generic, TypeVar
+
+NS_PER_MS = 1_000_000
+
+WorldT = TypeVar("WorldT")
+
+
+class TickSystem(abc.ABC, Generic[WorldT]):
+    """One group of decisions.
+
+    A system reads events and rows, and writes rows and commands. It touches
+    no socket, no encoder and no clock.
+    """
+
+    def start(self, world: WorldT, now_ns: int) -> None:
+        """Sets the first timers; called once before the first tick."""
+        del world, now_ns
+
+    @abc.abstractmethod
+    def run(self, world: WorldT, now_ns: int) -> None:
+        """Decides on all that is new or due at now_ns."""
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the forwarding tier: routes, endpoints, requests, the fleet."""
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -0,0 +1,102 @@
+"""The entry nodes of the fleet, this one included."""
+
+import enum
+from dataclasses import dataclass, field
+
+
+class NodePhase(enum.Enum):
+    """The life cycle of an entry node."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """What a node says of itself, to the store and to its peers.
+
+    Attributes:
+      incarnation: names one run of its process; later runs sort higher.
+      sequence: grows with each record of one incarnation.
+    """
+
+    node_id: str
+    incarnation: str
+    front_address: str
+    peer_address: str
+    zone: str
+    phase: NodePhase
+    config_version: int = 0
+    store_ok: bool = True
+    endpoints_revision: int = 0
+    sequence: int = 0
+
+
+@dataclass(slots=True)
+class FleetNode:
+    """Another node.
+
+    Attributes:
+      registered: the store holds its record.
+      heard_ns: when its last heartbeat came; 0 for never.
+      shared_ns: when it was last sent what it lacked.
+    """
+
+    record: NodeRecord
+    registered: bool = False
+    added_ns: int = 0
+    heard_ns: int = 0
+    shared_ns: int = 0
+
+
+@dataclass(slots=True)
+class ThisNode:
+    """This node.
+
+    Attributes:
+      leave_ns: when it was asked to leave; 0 for never.
+      exit_by_ns: when its process ends at the latest.
+      stopping: it has asked for the end of its process.
+    """
+
+    node_id: str
+    incarnation: str
+    front_address: str
+    peer_address: str
+    zone: str
+    phase: NodePhase = NodePhase.STARTING
+    sequence: int = 0
+    leave_ns: int = 0
+    exit_by_ns: int = 0
+    stopping: bool = False
+
+
+@dataclass(slots=True)
+class Presence:
+    """This node's registration in the store.
+
+    Attributes:
+      lease_id: the lease that carries it; 0 for none.
+      calling: a call for it is in flight.
+      stale: the record in the store differs from the one of now.
+    """
+
+    lease_id: int = 0
+    calling: bool = False
+    stale: bool = True
+    due_ns: int = 0
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class Fleet:
+    """What this node knows of the fleet.
+
+    Attributes:
+      size_seen: the most nodes known at once lately, this one included.
+    """
+
+    nodes: dict[str, FleetNode] = field(default_factory=dict)
+    size_seen: int = 1
+    size_seen_ns: int = 0
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/forwarding/latencies.py
@@ -0,0 +1,35 @@
+"""Running estimates of how long the endpoints of a route take."""
+
+from dataclasses import dataclass
+
+_STEP = 0.05
+_MIN_NS = 200_000.0
+
+
+@dataclass(slots=True)
+class RouteLatency:
+    """Quantiles of the latencies of a route's attempts, in nanoseconds.
+
+    Each estimate moves a small step towards every new value, weighted by its
+    quantile (stochastic approximation: Robbins and Monro, 1951).
+    """
+
+    median_ns: float = 0.0
+    high_ns: float = 0.0
+    high_quantile: float = 0.92
+    samples: int = 0
+
+    def record(self, latency_ns: int) -> None:
+        """Adds one latency."""
+        value = max(float(latency_ns), _MIN_NS)
+        self.samples += 1
+        if self.samples == 1:
+            self.median_ns = value
+            self.high_ns = value * 1.6
+            return
+        step = max(_STEP, 1.0 / self.samples)
+        self.median_ns *= 1 + (step if value > self.median_ns else -step)
+        up = step * 2 * self.high_quantile
+        down = step * 2 * (1 - self.high_quantile)
+        self.high_ns *= 1 + (up if value > self.high_ns else -down)
+        self.high_ns = max(self.high_ns, self.median_ns)
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/forwarding/mirrors.py
@@ -0,0 +1,83 @@
+"""Mirrors: local copies of ranges of the store, kept up by watches."""
+
+import enum
+from dataclasses import dataclass, field
+
+from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
+from snipesaddle._internal.tables.forwarding.fleet import NodeRecord
+from snipesaddle._internal.tables.forwarding.routes import RouteConfig
+
+
+class Range(enum.Enum):
+    """A range of the store that this node mirrors."""
+
+    CONFIG = "config"
+    ENDPOINTS = "endpoints"
+    NODES = "nodes"
+
+
+class MirrorStage(enum.Enum):
+    """How far a mirror has come."""
+
+    LIST = "list"
+    WATCH = "watch"
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """An item that names nothing usable; why is logged."""
+
+    detail: str
+
+
+Item = RouteConfig | EndpointEntry | NodeRecord | Unreadable
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """An item of a range as it was written, or None when it was removed."""
+
+    key: str
+    item: Item | None
+
+
+@dataclass(slots=True)
+class Mirror:
+    """The state of one mirrored range.
+
+    Attributes:
+      revision: the store's revision that the copy is at.
+      after_key: the last key of the pages listed so far.
+      listed: the items of the pages listed so far.
+      calling: a call for it is in flight.
+      synced_ns: when the store last answered for it.
+    """
+
+    range: Range
+    stage: MirrorStage = MirrorStage.LIST
+    revision: int = 0
+    list_revision: int = 0
+    after_key: str = ""
+    listed: dict[str, Item] = field(default_factory=dict)
+    calling: bool = False
+    due_ns: int = 0
+    failures: int = 0
+    synced_ns: int = 0
+
+
+@dataclass(slots=True)
+class StoreHealth:
+    """Whether the store answers this node.
+
+    Attributes:
+      lost_ns: when it was lost; 0 while it answers.
+      regained_ns: when it last came back.
+    """
+
+    lost_ns: int = 0
+    regained_ns: int = 0
+
+    @property
+    def is_ok(self) -> bool:
+        """Tells whether it answers."""
+        return self.lost_ns == 0
--- /dev/null
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -0,0 +1,173 @@
+"""The tables of the forwarding tier."""
+
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from snipesaddle._internal.models.forwarding import ForwardSettings
+from snipesaddle._internal.tables.forwarding.budgets import RetryWindow
+from snipesaddle._internal.tables.forwarding.commands import (
+    Command,
+    LogDecision,
+)
+from snipesaddle._internal.tables.forwarding.endpoints import (
+    Endpoint,
+    EndpointConnection,
+    ServicePool,
+)
+from snipesaddle._internal.tables.forwarding.events import AttemptAnswered
+from snipesaddle._internal.tables.forwarding.fleet import (
+    Fleet,
+    Presence,
+    ThisNode,
+)
+from snipesaddle._internal.tables.forwarding.latencies import RouteLatency
+from snipesaddle._internal.tables.forwarding.mirrors import (
+    Change,
+    Item,
+    Mirror,
+    Range,
+    StoreHealth,
+)
+from snipesaddle._internal.tables.forwarding.requests import Attempt, Request
+from snipesaddle._internal.tables.forwarding.routes import (
+    ActiveConfig,
+    RouteConfig,
+)
+from snipesaddle._internal.tables.inbox import Inbox
+from snipesaddle._internal.tables.timers import Timers
+
+
+@dataclass(frozen=True, slots=True)
+class LostAttempt:
+    """An attempt whose connection ended without a whole answer.
+
+    Attributes:
+      sent: bytes of it were written, so it may have run.
+    """
+
+    attempt: Attempt
+    sent: bool
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """An attempt that an endpoint answered."""
+
+    attempt: Attempt
+    event: AttemptAnswered
+
+
+@dataclass(slots=True)
+class ForwardCounters:
+    """Counts since the start of the process."""
+
+    requests: int = 0
+    answered: int = 0
+    partial: int = 0
+    refused: int = 0
+    failed: int = 0
+    timeouts: int = 0
+    clients_gone: int = 0
+    attempts: int = 0
+    hedges: int = 0
+    retries: int = 0
+    budget_denials: int = 0
+    endpoint_refusals: int = 0
+    endpoint_failures: int = 0
+    connections_opened: int = 0
+    connections_lost: int = 0
+    store_calls: int = 0
+    store_failures: int = 0
+    ticks: int = 0
+
+
+@dataclass(slots=True)
+class ForwardWorld:
+    """The tables that the systems of the forwarding tier run over.
+
+    Attributes:
+      offered: configurations read in this tick, from the store or a peer.
+      lists: whole ranges read in this tick, by key.
+      changes: changes of ranges seen in this tick, oldest first.
+      ended: attempts answered in this tick.
+      lost: attempts lost in this tick.
+      pending: parts that need an endpoint: request id and part index.
+      touched: requests to look at for completion in this tick.
+      freed: services with a connection that came free in this tick.
+      splits: the credit of each target of a route with several.
+    """
+
+    settings: ForwardSettings
+    me: ThisNode
+    rng: random.Random
+    inbox: Inbox = field(default_factory=Inbox)
+    outbox: list[Command] = field(default_factory=list)
+    timers: Timers = field(default_factory=Timers)
+    active: ActiveConfig = field(default_factory=ActiveConfig)
+    offered: list[RouteConfig] = field(default_factory=list)
+    lists: dict[Range, dict[str, Item]] = field(default_factory=dict)
+    changes: dict[Range, list[Change]] = field(
+        default_factory=lambda: {item: [] for item in Range}
+    )
+    mirrors: dict[Range, Mirror] = field(
+        default_factory=lambda: {item: Mirror(item) for item in Range}
+    )
+    store: StoreHealth = field(default_factory=StoreHealth)
+    presence: Presence = field(default_factory=Presence)
+    fleet: Fleet = field(default_factory=Fleet)
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    endpoints_revision: int = 0
+    pools: dict[str, ServicePool] = field(default_factory=dict)
+    connections: dict[int, EndpointConnection] = field(default_factory=dict)
+    requests: dict[int, Request] = field(default_factory=dict)
+    clients: dict[int, int] = field(default_factory=dict)
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    ended: list[EndedAttempt] = field(default_factory=list)
+    lost: list[LostAttempt] = field(default_factory=list)
+    pending: deque[tuple[int, int]] = field(default_factory=deque)
+    touched: dict[int, None] = field(default_factory=dict)
+    freed: dict[str, None] = field(default_factory=dict)
+    windows: dict[str, RetryWindow] = field(default_factory=dict)
+    latencies: dict[str, RouteLatency] = field(default_factory=dict)
+    splits: dict[str, list[float]] = field(default_factory=dict)
+    counters: ForwardCounters = field(default_factory=ForwardCounters)
+    ids: "itertools.count[int]" = field(
+        default_factory=lambda: itertools.count(1)
+    )
+
+    def emit(self, command: Command) -> None:
+        """Adds a command for the adapters."""
+        self.outbox.append(command)
+
+    def log(self, event: str, **fields: object) -> None:
+        """Adds a line for the log."""
+        self.outbox.append(LogDecision(event, fields))
+
+    def next_id(self) -> int:
+        """Returns a number not used before in this process."""
+        return next(self.ids)
+
+    def pool(self, service: str) -> ServicePool:
+        """Returns the pool of a service, made when it is new."""
+        pool = self.pools.get(service)
+        if pool is None:
+            pool = self.pools[service] = ServicePool(service)
+        return pool
+
+    def latency(self, route_name: str) -> RouteLatency:
+        """Returns the latency estimates of a route."""
+        latency = self.latencies.get(route_name)
+        if latency is None:
+            latency = self.latencies[route_name] = RouteLatency()
+        return latency
+
+    def window(self, service: str) -> RetryWindow:
+        """Returns the retry window of a service."""
+        window = self.windows.get(service)
+        if window is None:
+            span_ns = self.settings.retries.window_s * 1_000_000_000
+            window = self.windows[service] = RetryWindow(span_ns)
+        return window
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -22,6 +22,14 @@
     EXECUTION_EXPIRY = enum.auto()
     RELAY = enum.auto()
     DRAIN = enum.auto()
+    MIRROR = enum.auto()
+    PRESENCE = enum.auto()
+    BEAT = enum.auto()
+    ENDPOINT = enum.auto()
+    REQUEST = enum.auto()
+    PART_RETRY = enum.auto()
+    ATTEMPT = enum.auto()
+    CONNECTION = enum.auto()
 
 
 class Timers:
--- /dev/null
+++ b/src/snipesaddle/platform/endpoints.py
@@ -0,0 +1,152 @@
+"""Attempts on endpoints over the platform's HTTP."""
+
+from snipesaddle._internal.adapters.http1.client import (
+    ClientConnection,
+    HttpResponse,
+    ResponseListener,
+    connect,
+)
+from snipesaddle._internal.ports.forwarding import EndpointTransport
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.requests import (
+    EndpointAnswer,
+    Request,
+)
+from snipesaddle._internal.tables.inbox import Inbox
+from snipesaddle.platform import headers, names
+
+_CONNECT_TIMEOUT_S = 1.0
+_MISDIRECTED = 421
+_MS_PER_S = 1_000
+_OWN = frozenset({names.TIME_LIMIT, names.EXPECTED_ENDPOINT})
+_KEEP_ALIVE = b"timeout="
+
+
+class PlatformEndpoints(EndpointTransport, ResponseListener):
+    """One HTTP connection for each connection of the tables."""
+
+    def __init__(self, inbox: Inbox) -> None:
+        self._inbox = inbox
+        self._connections: dict[int, ClientConnection] = {}
+        self._attempts: dict[int, tuple[int, bytes]] = {}
+
+    async def open(self, command: commands.OpenConnection) -> None:
+        connection = ClientConnection(command.connection_id, self)
+        self._connections[command.connection_id] = connection
+        try:
+            await connect(command.address, connection, _CONNECT_TIMEOUT_S)
+        except (OSError, TimeoutError) as error:
+            connection.close()
+            self._end(
+                command.connection_id, False, str(error) or "connect timed out"
+            )
+            return
+        if command.connection_id in self._connections:
+            opened = events.ConnectionOpened(command.connection_id)
+            self._inbox.put(opened)
+
+    def close(self, connection_id: int) -> None:
+        self._attempts.pop(connection_id, None)
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None:
+            connection.close()
+
+    def send(self, command: commands.SendAttempt) -> None:
+        connection = self._connections.get(command.connection_id)
+        if connection is None:
+            return
+        arrived = command.request.arrived
+        self._attempts[command.connection_id] = (
+            command.attempt_id,
+            arrived.request_key,
+        )
+        is_head = arrived.method == b"HEAD"
+        connection.send(_encode(command), is_head)
+
+    def is_expected(
+        self, connection: ClientConnection, response: HttpResponse
+    ) -> bool:
+        attempt = self._attempts.get(connection.connection_id)
+        key = response.header(names.REQUEST_KEY)
+        return attempt is not None and (key is None or key == attempt[1])
+
+    def on_response(
+        self,
+        connection: ClientConnection,
+        response: HttpResponse,
+        reusable: bool,
+    ) -> None:
+        attempt_id, _ = self._attempts.pop(connection.connection_id)
+        self._inbox.put(
+            events.AttemptAnswered(
+                connection_id=connection.connection_id,
+                attempt_id=attempt_id,
+                answer=_decode(response),
+                reusable=reusable,
+                keep_alive_ms=_keep_alive_ms(response),
+            )
+        )
+
+    def on_end(self, connection: ClientConnection, detail: str) -> None:
+        self._end(connection.connection_id, True, detail)
+
+    def _end(self, connection_id: int, opened: bool, detail: str) -> None:
+        self._attempts.pop(connection_id, None)
+        if self._connections.pop(connection_id, None) is not None:
+            ended = events.ConnectionEnded(connection_id, opened, detail)
+            self._inbox.put(ended)
+
+
+def _encode(command: commands.SendAttempt) -> bytes:
+    head, body = _prepared(command.request)
+    return b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+        head,
+        names.TIME_LIMIT_SENT,
+        command.time_left_ms,
+        names.EXPECTED_ENDPOINT_SENT,
+        command.endpoint_id.encode(),
+        body,
+    )
+
+
+def _prepared(request: Request) -> tuple[bytes, bytes]:
+    if isinstance(request.prepared, tuple):
+        return request.prepared
+    arrived = request.arrived
+    lines = [b"%b %b HTTP/1.1\r\n" % (arrived.method, arrived.target)]
+    passed_on = headers.end_to_end(arrived.headers, _OWN)
+    lines.extend(b"%b: %b\r\n" % header for header in passed_on)
+    if arrived.body or arrived.method not in (b"GET", b"HEAD"):
+        lines.append(b"Content-Length: %d\r\n" % len(arrived.body))
+    request.prepared = (b"".join(lines), arrived.body)
+    return request.prepared
+
+
+def _decode(response: HttpResponse) -> EndpointAnswer:
+    # An encoded body is not the endpoint's: nobody asked for one.
+    encoded = response.header(b"content-encoding") is not None
+    signature = response.header(names.SIGNATURE) or b""
+    not_run = (
+        response.header(names.NOT_RUN) is not None
+        or response.status == _MISDIRECTED
+    )
+    return EndpointAnswer(
+        status=response.status,
+        reason=response.reason,
+        headers=response.headers,
+        body=response.body,
+        signature=b"" if encoded else signature,
+        not_run=not_run,
+    )
+
+
+def _keep_alive_ms(response: HttpResponse) -> int:
+    value = response.header(b"keep-alive")
+    if value is None:
+        return 0
+    for part in value.lower().split(b","):
+        part = part.strip()
+        if part.startswith(_KEEP_ALIVE):
+            seconds = part.removeprefix(_KEEP_ALIVE)
+            return int(seconds) * _MS_PER_S if seconds.isdigit() else 0
+    return 0
--- /dev/null
+++ b/src/snipesaddle/platform/front.py
@@ -0,0 +1,233 @@
+"""Clients over the platform's HTTP: requests, the directory, readiness."""
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import msgspec
+
+from snipesaddle._internal.adapters.http1.server import (
+    HttpRequest,
+    HttpServer,
+    RequestHandler,
+    ServerLimits,
+)
+from snipesaddle._internal.ports.forwarding import ClientFront
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.commands import Refusal
+from snipesaddle._internal.tables.forwarding.requests import (
+    ArrivedRequest,
+    Headers,
+)
+from snipesaddle._internal.tables.forwarding.routes import ClientLimits
+from snipesaddle._internal.tables.inbox import Inbox
+from snipesaddle.platform import headers, names
+
+_MS_PER_S = 1_000
+_MAX_DIGITS = 12
+_NO_OWN: frozenset[bytes] = frozenset()
+_STATUSES = {
+    Refusal.NO_ROUTE: (404, b"Not Found"),
+    Refusal.BAD_REQUEST: (400, b"Bad Request"),
+    Refusal.NOT_RUN: (503, b"Service Unavailable"),
+    Refusal.FAILED: (502, b"Bad Gateway"),
+    Refusal.TIMEOUT: (504, b"Gateway Timeout"),
+}
+
+
+class _Requests(RequestHandler):
+    """Turns requests into events."""
+
+    def __init__(self, inbox: Inbox, now_ns: Callable[[], int]) -> None:
+        self._inbox = inbox
+        self._now_ns = now_ns
+        self.heads: set[int] = set()
+
+    def on_request(self, client_id: int, request: HttpRequest) -> None:
+        if request.method == b"HEAD":
+            self.heads.add(client_id)
+        arrived = ArrivedRequest(
+            client_id=client_id,
+            request_key=request.header(names.REQUEST_KEY) or b"",
+            method=request.method,
+            host=_host(request),
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            time_limit_ms=_time_limit_ms(request),
+        )
+        self._inbox.put(events.RequestArrived(arrived, self._now_ns()))
+
+    def on_gone(self, client_id: int) -> None:
+        self.heads.discard(client_id)
+        self._inbox.put(events.ClientGone(client_id))
+
+
+class _Directory(RequestHandler):
+    """Turns questions for nodes into events."""
+
+    def __init__(self, inbox: Inbox) -> None:
+        self._inbox = inbox
+        self.server = HttpServer(self)
+
+    def on_request(self, client_id: int, request: HttpRequest) -> None:
+        path, _, query = request.target.partition(b"?")
+        if path != names.DIRECTORY_PATH:
+            self.server.respond(client_id, 404, b"Not Found", *_text(b""))
+            return
+        fields = parse_qs(query.decode("latin-1"))
+        host = fields.get("name", [""])[0].encode("latin-1")
+        zone = fields.get("zone", [""])[0]
+        self._inbox.put(events.DirectoryAsked(client_id, host, zone))
+
+    def on_gone(self, client_id: int) -> None:
+        del client_id
+
+
+class _Readiness(RequestHandler):
+    """Answers whether this node is ready."""
+
+    def __init__(self) -> None:
+        self.ready = False
+        self.server = HttpServer(self)
+
+    def on_request(self, client_id: int, request: HttpRequest) -> None:
+        if request.target.partition(b"?")[0] != names.READINESS_PATH:
+            self.server.respond(client_id, 404, b"Not Found", *_text(b""))
+        elif self.ready:
+            self.server.respond(client_id, 200, b"OK", *_text(b"ready"))
+        else:
+            reason = b"Service Unavailable"
+            self.server.respond(client_id, 503, reason, *_text(b"not ready"))
+
+    def on_gone(self, client_id: int) -> None:
+        del client_id
+
+
+class PlatformFront(ClientFront):
+    """The servers that face the platform and its clients."""
+
+    def __init__(self, inbox: Inbox, now_ns: Callable[[], int]) -> None:
+        self._requests = _Requests(inbox, now_ns)
+        self._server = HttpServer(self._requests)
+        self._directory = _Directory(inbox)
+        self._readiness = _Readiness()
+
+    async def start(self, front: str, directory: str, readiness: str) -> None:
+        """Starts to listen at the three addresses.
+
+        Raises:
+          OSError: an address cannot be used.
+        """
+        await self._server.start(front)
+        await self._directory.server.start(directory)
+        await self._readiness.server.start(readiness)
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        for server in (
+            self._server,
+            self._directory.server,
+            self._readiness.server,
+        ):
+            server.stop()
+
+    def pass_answer(self, command: commands.PassAnswer) -> None:
+        answer = command.answer
+        kept = headers.end_to_end(answer.headers, _NO_OWN)
+        length = b"%d" % len(answer.body)
+        if command.client_id in self._requests.heads:
+            self._requests.heads.discard(command.client_id)
+            length = _header_of(answer.headers, b"content-length") or length
+        self._server.respond(
+            command.client_id,
+            answer.status,
+            answer.reason,
+            (*kept, (b"Content-Length", length)),
+            answer.body,
+            command.closing,
+        )
+
+    def merged_answer(self, command: commands.MergedAnswer) -> None:
+        self._server.respond(
+            command.client_id,
+            200,
+            b"OK",
+            (
+                (names.PART_SIGNATURES_SENT, b", ".join(command.signatures)),
+                (names.MISSING_PARTS_SENT, b"%d" % command.missing),
+                (b"Content-Type", b"application/octet-stream"),
+                (b"Content-Length", b"%d" % len(command.body)),
+            ),
+            command.body,
+            command.closing,
+        )
+
+    def refuse(self, command: commands.RefuseClient) -> None:
+        self._requests.heads.discard(command.client_id)
+        status, reason = _STATUSES[command.refusal]
+        fields, body = _text(command.detail.encode())
+        if command.retry_after_ms:
+            seconds = command.retry_after_ms / _MS_PER_S
+            fields = (*fields, (b"Retry-After", b"%g" % seconds))
+        self._server.respond(
+            command.client_id, status, reason, fields, body, command.closing
+        )
+
+    def answer_directory(self, command: commands.AnswerDirectory) -> None:
+        body = msgspec.json.encode(
+            {
+                "addrs": command.addresses,
+                "ttl_s": command.keep_ms / _MS_PER_S,
+            }
+        )
+        fields = (
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", b"%d" % len(body)),
+        )
+        server = self._directory.server
+        if command.addresses:
+            server.respond(command.client_id, 200, b"OK", fields, body)
+        else:
+            reason = b"Service Unavailable"
+            server.respond(command.client_id, 503, reason, fields, body)
+
+    def set_readiness(self, ready: bool) -> None:
+        self._readiness.ready = ready
+
+    def set_limits(self, limits: ClientLimits) -> None:
+        self._server.limits = ServerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / _MS_PER_S,
+            idle_timeout_s=limits.idle_timeout_ms / _MS_PER_S,
+        )
+
+    def close_idle(self) -> None:
+        self._server.close_idle()
+
+
+def _text(body: bytes) -> tuple[Headers, bytes]:
+    fields = (
+        (b"Content-Type", b"text/plain"),
+        (b"Content-Length", b"%d" % len(body)),
+    )
+    return fields, body
+
+
+def _header_of(fields: Headers, name: bytes) -> bytes | None:
+    for key, value in fields:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def _host(request: HttpRequest) -> bytes:
+    host = request.header(b"host") or b""
+    return host.partition(b":")[0]
+
+
+def _time_limit_ms(request: HttpRequest) -> int | None:
+    value = request.header(names.TIME_LIMIT)
+    if value is None or len(value) > _MAX_DIGITS or not value.isdigit():
+        return None
+    return int(value)
--- /dev/null
+++ b/src/snipesaddle/platform/headers.py
@@ -0,0 +1,38 @@
+"""Headers that concern one connection only, and are not passed on."""
+
+from snipesaddle._internal.tables.forwarding.requests import Headers
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+def end_to_end(headers: Headers, own: frozenset[bytes]) -> Headers:
+    """Returns the headers to pass on.
+
+    Args:
+      own: further names, in lower case, that this node sets itself.
+    """
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in _HOP_BY_HOP
+        and lower not in own
+        and lower not in named
+    )
--- /dev/null
+++ b/src/snipesaddle/platform/records.py
@@ -0,0 +1,174 @@
+"""Decodes what the platform's store holds into the product's types."""
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from snipesaddle._internal.tables.forwarding.endpoints import (
+    EndpointEntry,
+    Registration,
+)
+from snipesaddle._internal.tables.forwarding.fleet import NodeRecord
+from snipesaddle._internal.tables.forwarding.mirrors import Item, Unreadable
+from snipesaddle._internal.tables.forwarding.routes import (
+    ClientLimits,
+    Route,
+    RouteConfig,
+    ServiceLimits,
+    WeightedService,
+)
+from snipesaddle.platform import names
+
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+_Address = Annotated[
+    str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _EndpointValue(msgspec.Struct):
+    """A registration; `version` is that of its software."""
+
+    service: _Name
+    address: _Address
+    zone: str
+    version: str
+    concurrency: _Positive
+    state: Literal["ready", "draining"]
+    warmup_left_ms: float
+    sequence: int
+    born: int = 0
+
+
+class _SplitValue(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _RouteValue(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    attempts: int = 1
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_SplitValue] | None = None
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_coverage: float = 1.0
+
+
+class _ServiceValue(msgspec.Struct):
+    name: str
+    max_connections: int = 16
+
+
+class _LimitsValue(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: float = 5_000
+    idle_timeout_ms: float = 60_000
+
+
+class _ConfigValue(msgspec.Struct):
+    version: int
+    routes: list[_RouteValue]
+    services: list[_ServiceValue]
+    limits: _LimitsValue = msgspec.field(default_factory=_LimitsValue)
+
+
+_decode_endpoint = msgspec.json.Decoder(_EndpointValue).decode
+_decode_config = msgspec.json.Decoder(_ConfigValue).decode
+_decode_node = msgspec.json.Decoder(NodeRecord).decode
+
+
+def decode_item(key: str, value: bytes) -> tuple[str, Item]:
+    """Returns the row key and the content of an item of the store."""
+    try:
+        if key == names.CONFIG_KEY:
+            return key, decode_config(value)
+        if key.startswith(names.ENDPOINT_PREFIX):
+            endpoint_id = key.removeprefix(names.ENDPOINT_PREFIX)
+            return endpoint_id, _endpoint(endpoint_id, value)
+        return key.removeprefix(names.NODE_PREFIX), _decode_node(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return row_key(key), Unreadable(str(error))
+
+
+def row_key(key: str) -> str:
+    """Returns the key under which a range's item is kept."""
+    return key.removeprefix(names.ENDPOINT_PREFIX).removeprefix(
+        names.NODE_PREFIX
+    )
+
+
+def encode_node(record: NodeRecord) -> bytes:
+    """Returns a node's record as the store keeps it."""
+    return msgspec.json.encode(record)
+
+
+def decode_config(source: bytes) -> RouteConfig:
+    """Decodes a configuration.
+
+    Raises:
+      msgspec.MsgspecError: it cannot be read.
+    """
+    value = _decode_config(source)
+    limits = value.limits
+    return RouteConfig(
+        version=value.version,
+        routes=tuple(_route(route) for route in value.routes),
+        services={
+            service.name: ServiceLimits(service.name, service.max_connections)
+            for service in value.services
+        },
+        limits=ClientLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_ms=int(limits.header_timeout_ms),
+            idle_timeout_ms=int(limits.idle_timeout_ms),
+        ),
+        source=source,
+    )
+
+
+def _endpoint(endpoint_id: str, value: bytes) -> EndpointEntry:
+    entry = _decode_endpoint(value)
+    return EndpointEntry(
+        endpoint_id=endpoint_id,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.concurrency,
+        registration=Registration(entry.state),
+        warmup_left_ms=int(entry.warmup_left_ms),
+        born_unix_ms=entry.born,
+    )
+
+
+def _route(value: _RouteValue) -> Route:
+    targets: tuple[WeightedService, ...] = ()
+    if value.traffic_split:
+        targets = tuple(
+            WeightedService(part.service, part.weight)
+            for part in value.traffic_split
+        )
+    elif value.service is not None:
+        targets = (WeightedService(value.service, 1.0),)
+    return Route(
+        name=value.name,
+        host=value.host.lower().encode(),
+        prefix=value.prefix.encode(),
+        idempotent=value.route_type == "idempotent",
+        timeout_ms=int(value.timeout_ms),
+        target_latency_ms=int(value.target_latency_ms or value.timeout_ms),
+        max_attempts=max(1, value.attempts),
+        priority=value.priority,
+        targets=targets,
+        shards=tuple(value.gather or ()),
+        top_k=value.top_k,
+        min_coverage=value.min_coverage,
+    )
--- /dev/null
+++ b/src/snipesaddle/platform/store.py
@@ -0,0 +1,210 @@
+"""The platform's store: ranges, watches, leases and this node's record."""
+
+import base64
+from collections.abc import Mapping
+from urllib.parse import urlencode
+
+import msgspec
+
+from snipesaddle._internal.adapters.http1.caller import (
+    CallFailedError,
+    HttpCaller,
+)
+from snipesaddle._internal.adapters.http1.client import HttpResponse
+from snipesaddle._internal.ports.forwarding import MirrorStore
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.mirrors import (
+    Change,
+    Item,
+    Range,
+)
+from snipesaddle._internal.tables.forwarding.routes import RouteConfig
+from snipesaddle.platform import names, records
+
+_MS_PER_S = 1_000
+_PREFIXES = {
+    Range.CONFIG: names.CONFIG_KEY,
+    Range.ENDPOINTS: names.ENDPOINT_PREFIX,
+    Range.NODES: names.NODE_PREFIX,
+}
+
+
+class _ItemValue(msgspec.Struct):
+    key: str
+    value: str = ""
+    removed: bool = False
+
+
+class _PageValue(msgspec.Struct):
+    """A page; `store_revision` is the revision of the whole store."""
+
+    items: list[_ItemValue]
+    has_more: bool
+    store_revision: int
+
+
+class _WatchValue(msgspec.Struct):
+    events: list[_ItemValue]
+    store_revision: int
+
+
+class _LeaseValue(msgspec.Struct):
+    lease: int
+
+
+_decode_page = msgspec.json.Decoder(_PageValue).decode
+_decode_watch = msgspec.json.Decoder(_WatchValue).decode
+_decode_lease = msgspec.json.Decoder(_LeaseValue).decode
+
+
+class _RefusedError(Exception):
+    """The store answered with an error status."""
+
+    def __init__(self, response: HttpResponse) -> None:
+        super().__init__(f"status {response.status}")
+        self.status = response.status
+
+
+_FAILURES = (
+    CallFailedError,
+    _RefusedError,
+    msgspec.MsgspecError,
+    ValueError,
+)
+
+
+class PlatformStore(MirrorStore):
+    """Calls the store; every call has a time limit."""
+
+    def __init__(self, address: str) -> None:
+        self._caller = HttpCaller(address)
+
+    async def list(
+        self, command: commands.ListRange
+    ) -> events.RangeListed | events.RangeFailed:
+        prefix = _PREFIXES[command.range]
+        query = {"prefix": prefix}
+        if command.after_key:
+            query["after"] = command.after_key
+        try:
+            response = await self._call(
+                "GET", names.STORE_RANGE, query, None, command.timeout_ms
+            )
+            page = _decode_page(response.body)
+            items = dict(_decode(item) for item in page.items)
+        except _FAILURES as error:
+            return events.RangeFailed(command.range, False, str(error))
+        return events.RangeListed(
+            range=command.range,
+            items=items,
+            revision=page.store_revision,
+            last_key=page.items[-1].key if page.items else "",
+            has_more=page.has_more and bool(page.items),
+        )
+
+    async def watch(
+        self, command: commands.WatchRange
+    ) -> events.RangeChanged | events.RangeFailed:
+        query = {
+            "prefix": _PREFIXES[command.range],
+            "after": str(command.revision),
+            "wait_ms": str(command.wait_ms),
+        }
+        try:
+            response = await self._call(
+                "GET", names.STORE_WATCH, query, None, command.timeout_ms
+            )
+            value = _decode_watch(response.body)
+            changes = tuple(_change(event) for event in value.events)
+        except _FAILURES as error:
+            gone = isinstance(error, _RefusedError) and error.status == 410
+            return events.RangeFailed(command.range, gone, str(error))
+        return events.RangeChanged(command.range, changes, value.store_revision)
+
+    async def write_presence(
+        self, command: commands.WritePresence
+    ) -> events.PresenceWritten | events.PresenceFailed:
+        try:
+            lease_id = command.lease_id or await self._grant(command)
+            value = records.encode_node(command.record)
+            put = {
+                "key": names.NODE_PREFIX + command.record.node_id,
+                "value": base64.b64encode(value).decode(),
+                "lease": lease_id,
+            }
+            body = {"expected_revision": [], "puts": [put], "deletes": []}
+            await self._call(
+                "POST", names.STORE_WRITE, {}, body, command.timeout_ms
+            )
+        except _FAILURES as error:
+            return _presence_failed(error)
+        return events.PresenceWritten(lease_id)
+
+    async def renew_presence(
+        self, command: commands.RenewPresence
+    ) -> events.PresenceWritten | events.PresenceFailed:
+        target = f"{names.STORE_RENEW}{command.lease_id}"
+        try:
+            await self._call("POST", target, {}, None, command.timeout_ms)
+        except _FAILURES as error:
+            return _presence_failed(error)
+        return events.PresenceWritten(command.lease_id)
+
+    async def remove_presence(self, command: commands.RemovePresence) -> None:
+        target = f"{names.STORE_END_LEASE}{command.lease_id}"
+        try:
+            await self._call("DELETE", target, {}, None, command.timeout_ms)
+        except _FAILURES:
+            # The lease runs out by itself, and the peers know already.
+            return
+
+    def decode_config(self, source: bytes) -> RouteConfig | None:
+        try:
+            return records.decode_config(source)
+        except msgspec.MsgspecError:
+            return None
+
+    def close(self) -> None:
+        self._caller.close()
+
+    async def _grant(self, command: commands.WritePresence) -> int:
+        response = await self._call(
+            "POST",
+            names.STORE_LEASE,
+            {},
+            {"ttl_ms": command.ttl_ms},
+            command.timeout_ms,
+        )
+        return _decode_lease(response.body).lease
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: Mapping[str, object] | None,
+        timeout_ms: int,
+    ) -> HttpResponse:
+        target = f"{path}?{urlencode(query)}" if query else path
+        content = b"" if body is None else msgspec.json.encode(body)
+        response = await self._caller.call(
+            method, target, content, timeout_ms / _MS_PER_S
+        )
+        if response.status != 200:
+            raise _RefusedError(response)
+        return response
+
+
+def _decode(item: _ItemValue) -> tuple[str, Item]:
+    return records.decode_item(item.key, base64.b64decode(item.value))
+
+
+def _change(item: _ItemValue) -> Change:
+    if item.removed:
+        return Change(records.row_key(item.key), None)
+    return Change(*_decode(item))
+
+
+def _presence_failed(error: Exception) -> events.PresenceFailed:
+    lost = isinstance(error, _RefusedError) and error.status == 404
+    return events.PresenceFailed(lost, str(error))
