Relay a request's shards to a node in their zone, and stay in the zone

Ruled out: steering clients, since no zone has more than half of the shards. Change: a node in the other zone gathers the shards there and sends back only the greatest records and the signatures; a call to another zone counts as 0.3 of the target latency; messages between nodes travel as arrays; watches wait 10 s, and peers make good a stuck one.

--- a/src/snipesaddle/_internal/adapters/http1/caller.py
+++ b/src/snipesaddle/_internal/adapters/http1/caller.py
@@ -34,8 +34,10 @@
         """Makes one call.
 
         Args:
+          method: the HTTP method.
           target: the path with its query.
           body: JSON, or nothing.
+          timeout_s: how long to wait in all, a new connection included.
 
         Raises:
           CallFailedError: no response came in time.
--- a/src/snipesaddle/_internal/adapters/http1/client.py
+++ b/src/snipesaddle/_internal/adapters/http1/client.py
@@ -139,9 +139,8 @@
             return
         self._headers.append((name, value))
         lower = name.lower()
-        if lower == b"content-length":
-            self._framed = True
-        elif lower == b"transfer-encoding" and b"chunked" in value.lower():
+        chunked = lower == b"transfer-encoding" and b"chunked" in value.lower()
+        if chunked or lower == b"content-length":
             self._framed = True
 
     def on_headers_complete(self) -> None:
--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -219,10 +219,15 @@
         )
         if size > self._server.limits.max_header_bytes:
             self._fault = (431, b"the header is too large")
-        for name, value in self._headers:
-            if name.lower() == b"expect" and self._transport is not None:
-                if value.lower() == b"100-continue" and not self.client_id:
-                    self._transport.write(_CONTINUE)
+        if not self.client_id and self._expects_continue():
+            assert self._transport is not None
+            self._transport.write(_CONTINUE)
+
+    def _expects_continue(self) -> bool:
+        return any(
+            name.lower() == b"expect" and value.lower() == b"100-continue"
+            for name, value in self._headers
+        )
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
--- a/src/snipesaddle/_internal/daemon/forward_dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/forward_dispatcher.py
@@ -13,7 +13,8 @@
     MirrorStore,
 )
 from snipesaddle._internal.ports.peer_transport import PeerTransport
-from snipesaddle._internal.tables.forwarding import commands
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.messages import RelayAsk
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 
@@ -118,4 +119,7 @@
         self._start(self._ports.store.remove_presence(command))
 
     def _send_to_node(self, command: commands.SendToNode) -> None:
-        self._ports.peers.send(command.peer_address, command.message)
+        message = command.message
+        sent = self._ports.peers.send(command.peer_address, message)
+        if not sent and isinstance(message, RelayAsk):
+            self._world.inbox.put(events.RelayUnsent(message.relay_id))
--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -55,12 +55,12 @@
 
     address: Address
     call_timeout_ms: Positive = 1_000
-    watch_wait_ms: Positive = 5_000
+    watch_wait_ms: Positive = 10_000
     watch_gap_ms: Positive = 100
     retry_min_ms: Positive = 100
     retry_max_ms: Positive = 1_000
     grace_ms: Positive = 2_200
-    presence_ttl_ms: Positive = 6_000
+    presence_ttl_ms: Positive = 9_000
 
 
 class FleetSettings(Model, frozen=True, kw_only=True):
@@ -69,8 +69,8 @@
     A node exchanges heartbeats with at most `neighbours` others.
     """
 
-    heartbeat_ms: Positive = 400
-    suspect_after_ms: Positive = 1_300
+    heartbeat_ms: Positive = 500
+    suspect_after_ms: Positive = 1_600
     neighbours: Positive = 8
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -1,10 +1,10 @@
 """Arrivals: takes requests on, or refuses them before any work."""
 
 from snipesaddle._internal.systems.forwarding import (
-    attempts,
     completion,
     hedging,
     placement,
+    relaying,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
@@ -47,10 +47,7 @@
         if request is None:
             return
         world.counters.clients_gone += 1
-        completion.remove(world, request)
-        for part in request.parts:
-            for attempt_id in part.attempts:
-                attempts.cancel(world, attempt_id, now_ns)
+        completion.cancel(world, request, now_ns)
 
     def _arrived(
         self,
@@ -77,10 +74,9 @@
         request = self._make(world, arrived, route, arrived_ns)
         world.requests[request.request_id] = request
         world.clients[arrived.client_id] = request.request_id
-        for index, part in enumerate(request.parts):
-            world.window(part.service).count_request(now_ns)
-            world.pending.append((request.request_id, index))
-        first_ns = _first_look_ns(world, request, now_ns)
+        relaying.plan(world, request, now_ns)
+        placement.request_parts(world, request, now_ns)
+        first_ns = hedging.first_look_ns(world, request, now_ns)
         world.timers.set(TimerKind.REQUEST, request.request_id, first_ns)
 
     def _make(
@@ -131,13 +127,6 @@
         )
 
 
-def _first_look_ns(world: ForwardWorld, request: Request, now_ns: int) -> int:
-    first_ns = hedging.next_look_ns(request, now_ns)
-    if not request.route.idempotent:
-        return first_ns
-    return min(first_ns, now_ns + placement.hedge_delay_ns(world, request))
-
-
 def choose_target(world: ForwardWorld, route: Route) -> str:
     """Returns the service whose turn it is, by smooth weighted turns."""
     targets = route.targets
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -13,8 +13,13 @@
     RecordOutcome,
     Refusal,
     RefuseClient,
+    SendToNode,
 )
 from snipesaddle._internal.tables.forwarding.fleet import NodePhase
+from snipesaddle._internal.tables.forwarding.messages import (
+    RelayCancel,
+    RelayReply,
+)
 from snipesaddle._internal.tables.forwarding.requests import (
     EndpointAnswer,
     PartState,
@@ -102,12 +107,35 @@
         )
 
 
+class RelayComposer(Composer):
+    """Gives the node that relayed the parts those that are in at its aim."""
+
+    def compose(
+        self, world: ForwardWorld, request: Request, now_ns: int
+    ) -> Command | None:
+        origin = request.origin
+        assert origin is not None
+        if request.open_parts and now_ns < request.aim_ns:
+            return None
+        answers = [part.answer for part in request.parts]
+        bodies = [answer.body for answer in answers if answer]
+        reply = RelayReply(
+            relay_id=origin.relay_id,
+            body=merge_records(bodies, request.route.top_k),
+            signatures=tuple(
+                answer.signature if answer else b"" for answer in answers
+            ),
+        )
+        return SendToNode(origin.peer_address, reply)
+
+
 class CompletionSystem(TickSystem[ForwardWorld]):
     """Answers the requests that have come to their end."""
 
     def __init__(self) -> None:
         self._pass = PassComposer()
         self._merge = MergeComposer()
+        self._relay = RelayComposer()
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         if not world.touched:
@@ -121,14 +149,21 @@
     def _complete(
         self, world: ForwardWorld, request: Request, now_ns: int
     ) -> None:
-        composer = self._merge if request.route.shards else self._pass
-        answer = composer.compose(world, request, now_ns)
+        answer = self._composer(request).compose(world, request, now_ns)
         if answer is None:
+            if request.relays and now_ns >= request.aim_ns:
+                world.overdue.append(request.request_id)
             return
         world.emit(answer)
-        _record(world, request, answer, now_ns)
+        if request.origin is None:
+            _record(world, request, answer, now_ns)
         finish(world, request, now_ns)
 
+    def _composer(self, request: Request) -> Composer:
+        if request.origin is not None:
+            return self._relay
+        return self._merge if request.route.shards else self._pass
+
 
 def finish(world: ForwardWorld, request: Request, now_ns: int) -> None:
     """Ends an answered request; its attempts in flight run out."""
@@ -142,10 +177,25 @@
                 attempts.abandon(world, attempt_id, now_ns)
 
 
+def cancel(world: ForwardWorld, request: Request, now_ns: int) -> None:
+    """Ends a request that nobody waits for, with all that runs for it."""
+    remove(world, request)
+    for part in request.parts:
+        for attempt_id in part.attempts:
+            attempts.cancel(world, attempt_id, now_ns)
+
+
 def remove(world: ForwardWorld, request: Request) -> None:
     """Removes the row of a request."""
     world.requests.pop(request.request_id, None)
     world.clients.pop(request.arrived.client_id, None)
+    if request.origin is not None:
+        world.origins.pop(request.origin, None)
+    for relay_id in request.relays:
+        relay = world.relays.pop(relay_id)
+        cancelled = RelayCancel(relay_id, world.me.peer_address)
+        world.emit(SendToNode(relay.peer_address, cancelled))
+    request.relays.clear()
     world.timers.cancel(TimerKind.REQUEST, request.request_id)
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/connections.py
+++ b/src/snipesaddle/_internal/systems/forwarding/connections.py
@@ -45,9 +45,8 @@
 ) -> EndpointConnection:
     """Returns an idle connection, or a new one that opens for the attempt.
 
-    Args:
-      once: the request must not run twice, so a connection that may just be
-        closed by the endpoint is not used.
+    With `once`, the request must not run twice, and a connection that the
+    endpoint may just be closing is not used.
     """
     while endpoint.idle:
         connection = world.connections[endpoint.idle.pop()]
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -33,8 +33,7 @@
             world.changes[Range.ENDPOINTS] = []
             for change in changes:
                 self._apply_change(world, change, now_ns)
-            mirror = world.mirrors[Range.ENDPOINTS]
-            world.endpoints_revision = mirror.revision
+            self._note_revision(world)
         for share in world.inbox.take(EndpointsShare):
             self._apply_share(world, share, now_ns)
         for key in world.timers.pop_due(TimerKind.ENDPOINT, now_ns):
@@ -52,7 +51,10 @@
                 log_unreadable(world, key, item)
         for endpoint_id in world.endpoints.keys() - readable:
             self._lapse(world, world.endpoints[endpoint_id], now_ns)
-        revision = world.mirrors[Range.ENDPOINTS].revision
+        self._note_revision(world)
+
+    def _note_revision(self, world: ForwardWorld) -> None:
+        revision = world.mirrors[Range.ENDPOINTS].item_revision
         world.endpoints_revision = max(world.endpoints_revision, revision)
 
     def _apply_change(
@@ -73,8 +75,7 @@
     def _apply_share(
         self, world: ForwardWorld, share: EndpointsShare, now_ns: int
     ) -> None:
-        newer = share.revision > world.endpoints_revision
-        if world.store.is_ok and world.endpoints or not newer:
+        if share.revision <= world.endpoints_revision:
             return
         world.endpoints_revision = share.revision
         known = set()
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -30,6 +30,8 @@
 
 _BEAT = "beat"
 _SHARE_GAP_NS = 500 * NS_PER_MS
+# A watch that says nothing for so long, while others see changes, is stuck.
+_BEHIND_NS = 1_200 * NS_PER_MS
 _FORGET_NS = 30_000 * NS_PER_MS
 _SIZE_MEMORY_NS = 30_000 * NS_PER_MS
 
@@ -162,18 +164,35 @@
             node.heard_ns = now_ns
         if now_ns - node.shared_ns < _SHARE_GAP_NS:
             return
-        if self._share(world, record):
+        if self._share(world, node, record, now_ns):
             node.shared_ns = now_ns
 
-    def _share(self, world: ForwardWorld, record: NodeRecord) -> bool:
+    def _lacks_endpoints(
+        self, world: ForwardWorld, node: FleetNode, now_ns: int
+    ) -> bool:
+        record = node.record
+        if record.endpoints_revision >= world.endpoints_revision:
+            node.behind_since_ns = 0
+            return False
+        if not record.store_ok or not record.endpoints_revision:
+            return True
+        node.behind_since_ns = node.behind_since_ns or now_ns
+        return now_ns - node.behind_since_ns > _BEHIND_NS
+
+    def _share(
+        self,
+        world: ForwardWorld,
+        node: FleetNode,
+        record: NodeRecord,
+        now_ns: int,
+    ) -> bool:
         shared = False
         config = world.active.config
         if 0 < config.version > record.config_version and config.source:
             share = ConfigShare(config.version, config.source)
             world.emit(SendToNode(record.peer_address, share))
             shared = True
-        lacks = record.endpoints_revision < world.endpoints_revision
-        if lacks and (not record.store_ok or not record.endpoints_revision):
+        if self._lacks_endpoints(world, node, now_ns):
             entries = tuple(
                 endpoint.entry for endpoint in world.endpoints.values()
             )
--- a/src/snipesaddle/_internal/systems/forwarding/hedging.py
+++ b/src/snipesaddle/_internal/systems/forwarding/hedging.py
@@ -67,12 +67,20 @@
         if not retries.may_spend(world, part.service, now_ns):
             world.counters.budget_denials += 1
             return
-        endpoint = self._chooser.choose(world, able, request.route.name, now_ns)
+        endpoint = self._chooser.choose(world, able, request.route, now_ns)
         placement.start_attempt(world, request, index, endpoint, now_ns)
         part.hedged = True
         world.counters.hedges += 1
 
 
+def first_look_ns(world: ForwardWorld, request: Request, now_ns: int) -> int:
+    """Returns when a new request gets its first look."""
+    first_ns = next_look_ns(request, now_ns)
+    if not request.route.idempotent:
+        return first_ns
+    return min(first_ns, now_ns + placement.hedge_delay_ns(world, request))
+
+
 def next_look_ns(request: Request, now_ns: int) -> int:
     """Returns when a request needs a look, if nothing happens before."""
     due_ns = request.deadline_ns
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -94,5 +94,6 @@
 
     def _give_up_requests(self, world: ForwardWorld, now_ns: int) -> None:
         for request in list(world.requests.values()):
-            world.emit(completion.refuse(world, request, Refusal.TIMEOUT))
+            if request.origin is None:
+                world.emit(completion.refuse(world, request, Refusal.TIMEOUT))
             completion.finish(world, request, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/mirroring.py
+++ b/src/snipesaddle/_internal/systems/forwarding/mirroring.py
@@ -54,6 +54,7 @@
         if not mirror.after_key:
             mirror.list_revision = event.revision
         mirror.listed.update(event.items)
+        self._note_items(mirror, event.item_revision)
         if event.has_more:
             mirror.after_key = event.last_key
             self._schedule(world, mirror, now_ns)
@@ -80,6 +81,8 @@
         self._answered(world, mirror, now_ns)
         mirror.revision = max(mirror.revision, event.revision)
         world.changes[mirror.range].extend(event.changes)
+        for change in event.changes:
+            self._note_items(mirror, change.revision)
         self._offer(world, (change.item for change in event.changes))
         gap_ms = world.settings.store.watch_gap_ms if event.changes else 0
         self._schedule(world, mirror, now_ns + gap_ms * NS_PER_MS)
@@ -122,6 +125,9 @@
             world.store.regained_ns = now_ns
             world.log("store_regained", lost_ms=lost_ms)
 
+    def _note_items(self, mirror: Mirror, revision: int) -> None:
+        mirror.item_revision = max(mirror.item_revision, revision)
+
     def _offer(self, world: ForwardWorld, items: object) -> None:
         assert hasattr(items, "__iter__")
         for item in items:
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -27,7 +27,7 @@
 _MIN_HEDGE_NS = 4 * NS_PER_MS
 _FIRST_HEDGE_NS = 40 * NS_PER_MS
 # The latest hedge leaves this part of the target latency to the second try.
-_LATEST_HEDGE = 0.5
+_LATEST_HEDGE = 0.3
 
 
 def open_part(
@@ -127,6 +127,14 @@
     )
 
 
+def request_parts(world: ForwardWorld, request: Request, now_ns: int) -> None:
+    """Lets the parts of a new request that this node asks for be placed."""
+    for index, part in enumerate(request.parts):
+        if part.state is PartState.PENDING:
+            world.window(part.service).count_request(now_ns)
+            world.pending.append((request.request_id, index))
+
+
 def hedge_delay_ns(world: ForwardWorld, request: Request) -> int:
     """Returns how long the first endpoint of a part is waited for."""
     latency = world.latency(request.route.name)
@@ -184,7 +192,7 @@
             world.counters.budget_denials += 1
             mark_missing(world, request, part, MissingCause.BUDGET)
             return
-        endpoint = self._chooser.choose(world, able, request.route.name, now_ns)
+        endpoint = self._chooser.choose(world, able, request.route, now_ns)
         start_attempt(world, request, index, endpoint, now_ns)
         if is_retry:
             world.counters.retries += 1
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -17,6 +17,7 @@
 from snipesaddle._internal.systems.forwarding.outcomes import OutcomesSystem
 from snipesaddle._internal.systems.forwarding.placement import PlacementSystem
 from snipesaddle._internal.systems.forwarding.presence import PresenceSystem
+from snipesaddle._internal.systems.forwarding.relaying import RelayingSystem
 from snipesaddle._internal.systems.forwarding.standing import LatencyChooser
 from snipesaddle._internal.systems.tick import TickSystem
 from snipesaddle._internal.tables.forwarding.commands import Command
@@ -42,6 +43,7 @@
             AttemptsSystem(),
             OutcomesSystem(),
             ArrivalsSystem(),
+            RelayingSystem(),
             HedgingSystem(chooser),
             PlacementSystem(chooser),
             CompletionSystem(),
@@ -64,7 +66,7 @@
         for _ in range(_MAX_PASSES):
             for system in self._systems:
                 system.run(world, now_ns)
-            if not world.pending and not world.freed:
+            if not world.pending and not world.freed and not world.overdue:
                 break
         commands, world.outbox = world.outbox, []
         return commands
--- a/src/snipesaddle/_internal/systems/forwarding/standing.py
+++ b/src/snipesaddle/_internal/systems/forwarding/standing.py
@@ -10,6 +10,7 @@
 from snipesaddle._internal.systems.tick import NS_PER_MS
 from snipesaddle._internal.tables.forwarding.endpoints import Endpoint
 from snipesaddle._internal.tables.forwarding.latencies import RouteLatency
+from snipesaddle._internal.tables.forwarding.routes import Route
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 _SLOWNESS_WEIGHT = 0.3
@@ -27,7 +28,8 @@
 _UNKNOWN_LATENCY_NS = 20.0 * NS_PER_MS
 _STALL_FACTOR = 2.0
 _STALL_MAX_NS = 150 * NS_PER_MS
-_ZONE_COST_NS = 8.0 * NS_PER_MS
+# What a call to another zone counts for, as a share of the target latency.
+_ZONE_COST = 0.3
 _OPENING_COST_NS = 6.0 * NS_PER_MS
 _COLD_FACTOR = 1.6
 _JITTER = 0.05
@@ -130,7 +132,7 @@
         self,
         world: ForwardWorld,
         endpoints: list[Endpoint],
-        route_name: str,
+        route: Route,
         now_ns: int,
     ) -> Endpoint:
         """Returns one of a non-empty list of usable endpoints."""
@@ -147,16 +149,17 @@
         self,
         world: ForwardWorld,
         endpoints: list[Endpoint],
-        route_name: str,
+        route: Route,
         now_ns: int,
     ) -> Endpoint:
         if len(endpoints) == 1:
             return endpoints[0]
-        median_ns = world.latency(route_name).median_ns or _UNKNOWN_LATENCY_NS
+        median_ns = world.latency(route.name).median_ns or _UNKNOWN_LATENCY_NS
+        zone_ns = route.target_latency_ms * NS_PER_MS * _ZONE_COST
         return min(
             endpoints,
             key=lambda endpoint: self._cost_ns(
-                world, endpoint, median_ns, now_ns
+                world, endpoint, median_ns, zone_ns, now_ns
             ),
         )
 
@@ -165,6 +168,7 @@
         world: ForwardWorld,
         endpoint: Endpoint,
         median_ns: float,
+        zone_ns: float,
         now_ns: int,
     ) -> float:
         expected_ns = median_ns * slowness(endpoint, now_ns)
@@ -182,5 +186,5 @@
         if not endpoint.idle:
             cost_ns += _OPENING_COST_NS
         if endpoint.entry.zone != world.me.zone:
-            cost_ns += _ZONE_COST_NS
+            cost_ns += zone_ns
         return cost_ns * (1 + _JITTER * world.rng.random())
--- a/src/snipesaddle/_internal/tables/forwarding/events.py
+++ b/src/snipesaddle/_internal/tables/forwarding/events.py
@@ -80,6 +80,7 @@
 
     Attributes:
       last_key: the last key of the page.
+      item_revision: the highest revision of an item of the page.
     """
 
     range: Range
@@ -87,6 +88,7 @@
     revision: int
     last_key: str
     has_more: bool
+    item_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +121,13 @@
     config: RouteConfig
 
 
+@dataclass(frozen=True, slots=True)
+class RelayUnsent:
+    """A relay could not be sent: its node is not connected."""
+
+    relay_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class PresenceWritten:
     """This node's record lies in the store under a lease."""
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -3,6 +3,8 @@
 import enum
 from dataclasses import dataclass, field
 
+import msgspec
+
 
 class NodePhase(enum.Enum):
     """The life cycle of an entry node."""
@@ -12,12 +14,13 @@
     LEAVING = "leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class NodeRecord:
+class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """What a node says of itself, to the store and to its peers.
 
     Attributes:
       incarnation: names one run of its process; later runs sort higher.
+      endpoints_revision: the revision of the last change of an endpoint that
+        it knows.
       sequence: grows with each record of one incarnation.
     """
 
@@ -41,6 +44,9 @@
       registered: the store holds its record.
       heard_ns: when its last heartbeat came; 0 for never.
       shared_ns: when it was last sent what it lacked.
+      behind_since_ns: since when it lacks changes of endpoints; 0 for never.
+      no_relays_until_ns: until when nothing is relayed to it, since it left
+        a relay without an answer.
     """
 
     record: NodeRecord
@@ -48,6 +54,8 @@
     added_ns: int = 0
     heard_ns: int = 0
     shared_ns: int = 0
+    behind_since_ns: int = 0
+    no_relays_until_ns: int = 0
 
 
 @dataclass(slots=True)
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -1,28 +1,30 @@
-"""Messages between entry nodes of the forwarding tier."""
+"""Messages between entry nodes of the forwarding tier.
 
-from dataclasses import dataclass
+They travel as arrays, without the names of their fields: bytes between zones
+are dear, and all nodes run the same version or one next to it. New fields go
+to the end, with a default.
+"""
+
+import msgspec
 
 from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
 from snipesaddle._internal.tables.forwarding.fleet import NodeRecord
 
 
-@dataclass(frozen=True, slots=True)
-class NodeBeat:
+class NodeBeat(msgspec.Struct, frozen=True, array_like=True):
     """Tells a neighbour that the sender is alive, and what it knows."""
 
     node: NodeRecord
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigShare:
+class ConfigShare(msgspec.Struct, frozen=True, array_like=True):
     """Gives a neighbour a newer configuration, as the store held it."""
 
     version: int
     source: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointsShare:
+class EndpointsShare(msgspec.Struct, frozen=True, array_like=True):
     """Gives a neighbour that cannot reach the store the endpoints listed.
 
     Attributes:
@@ -33,4 +35,59 @@
     entries: tuple[EndpointEntry, ...]
 
 
-FleetMessage = NodeBeat | ConfigShare | EndpointsShare
+class RelayAsk(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a node to gather the parts of a request from its own zone.
+
+    Attributes:
+      services: the shards to ask.
+      aim_left_ms: when the parts that are in by then are to be sent back.
+      time_left_ms: when the client's time is up.
+    """
+
+    relay_id: int
+    reply_address: str
+    request_key: bytes
+    method: bytes
+    host: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    route_name: str
+    services: tuple[str, ...]
+    aim_left_ms: int
+    time_left_ms: int
+    target_latency_ms: int
+    max_attempts: int
+    priority: int
+    top_k: int
+
+
+class RelayReply(msgspec.Struct, frozen=True, array_like=True):
+    """Gives back the parts gathered.
+
+    Attributes:
+      body: the greatest records of the parts that are in.
+      signatures: the signature of each part asked for; empty when it is not
+        in.
+    """
+
+    relay_id: int
+    body: bytes
+    signatures: tuple[bytes, ...]
+
+
+class RelayCancel(msgspec.Struct, frozen=True, array_like=True):
+    """Tells a node that nobody waits for a relay any more."""
+
+    relay_id: int
+    reply_address: str
+
+
+FleetMessage = (
+    NodeBeat
+    | ConfigShare
+    | EndpointsShare
+    | RelayAsk
+    | RelayReply
+    | RelayCancel
+)
--- a/src/snipesaddle/_internal/tables/forwarding/mirrors.py
+++ b/src/snipesaddle/_internal/tables/forwarding/mirrors.py
@@ -39,6 +39,7 @@
 
     key: str
     item: Item | None
+    revision: int
 
 
 @dataclass(slots=True)
@@ -47,6 +48,7 @@
 
     Attributes:
       revision: the store's revision that the copy is at.
+      item_revision: the highest revision of an item seen.
       after_key: the last key of the pages listed so far.
       listed: the items of the pages listed so far.
       calling: a call for it is in flight.
@@ -57,6 +59,7 @@
     stage: MirrorStage = MirrorStage.LIST
     revision: int = 0
     list_revision: int = 0
+    item_revision: int = 0
     after_key: str = ""
     listed: dict[str, Item] = field(default_factory=dict)
     calling: bool = False
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -58,6 +58,7 @@
     PENDING = "pending"
     WAITING = "waiting"
     RUNNING = "running"
+    RELAYED = "relayed"
     ANSWERED = "answered"
     MISSING = "missing"
 
@@ -72,6 +73,7 @@
     FAILED = "failed"
     TIMEOUT = "timeout"
     BUDGET = "budget"
+    RELAY = "relay"
 
 
 @dataclass(slots=True)
@@ -100,11 +102,36 @@
     retry_ns: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RelayOrigin:
+    """The node that relayed some parts of a request to this one.
+
+    Attributes:
+      relay_id: what that node calls the relay.
+    """
+
+    peer_address: str
+    relay_id: int
+
+
+@dataclass(slots=True)
+class Relay:
+    """Some parts of a request that another node gathers for this one."""
+
+    relay_id: int
+    request_id: int
+    node_id: str
+    peer_address: str
+    part_indexes: tuple[int, ...]
+
+
 @dataclass(slots=True)
 class Request:
     """A request in progress.
 
     Attributes:
+      origin: the node that asks for it; None when a client does.
+      relays: the relays that are not answered yet.
       aim_ns: when an incomplete answer is worth more than a later whole one.
       deadline_ns: when the final answer is due.
       prepared: the encoded request, kept by the adapter between attempts.
@@ -119,6 +146,8 @@
     deadline_ns: int
     parts: list[Part]
     open_parts: int
+    origin: RelayOrigin | None = None
+    relays: list[int] = field(default_factory=list)
     prepared: object = None
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -30,7 +30,12 @@
     Range,
     StoreHealth,
 )
-from snipesaddle._internal.tables.forwarding.requests import Attempt, Request
+from snipesaddle._internal.tables.forwarding.requests import (
+    Attempt,
+    Relay,
+    RelayOrigin,
+    Request,
+)
 from snipesaddle._internal.tables.forwarding.routes import (
     ActiveConfig,
     RouteConfig,
@@ -75,6 +80,8 @@
     hedges: int = 0
     retries: int = 0
     budget_denials: int = 0
+    relays: int = 0
+    relays_failed: int = 0
     endpoint_refusals: int = 0
     endpoint_failures: int = 0
     connections_opened: int = 0
@@ -96,7 +103,9 @@
       lost: attempts lost in this tick.
       pending: parts that need an endpoint: request id and part index.
       touched: requests to look at for completion in this tick.
+      overdue: requests whose relays were not answered in time.
       freed: services with a connection that came free in this tick.
+      origins: the requests that other nodes relayed to this one.
       splits: the credit of each target of a route with several.
     """
 
@@ -125,10 +134,13 @@
     requests: dict[int, Request] = field(default_factory=dict)
     clients: dict[int, int] = field(default_factory=dict)
     attempts: dict[int, Attempt] = field(default_factory=dict)
+    relays: dict[int, Relay] = field(default_factory=dict)
+    origins: dict[RelayOrigin, int] = field(default_factory=dict)
     ended: list[EndedAttempt] = field(default_factory=list)
     lost: list[LostAttempt] = field(default_factory=list)
     pending: deque[tuple[int, int]] = field(default_factory=deque)
     touched: dict[int, None] = field(default_factory=dict)
+    overdue: list[int] = field(default_factory=list)
     freed: dict[str, None] = field(default_factory=dict)
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     latencies: dict[str, RouteLatency] = field(default_factory=dict)
--- a/src/snipesaddle/platform/endpoints.py
+++ b/src/snipesaddle/platform/endpoints.py
@@ -31,6 +31,7 @@
         self._attempts: dict[int, tuple[int, bytes]] = {}
 
     async def open(self, command: commands.OpenConnection) -> None:
+        """Opens a connection; an event tells the outcome."""
         connection = ClientConnection(command.connection_id, self)
         self._connections[command.connection_id] = connection
         try:
@@ -46,12 +47,14 @@
             self._inbox.put(opened)
 
     def close(self, connection_id: int) -> None:
+        """Closes a connection at once."""
         self._attempts.pop(connection_id, None)
         connection = self._connections.pop(connection_id, None)
         if connection is not None:
             connection.close()
 
     def send(self, command: commands.SendAttempt) -> None:
+        """Writes a request to a connection that is up."""
         connection = self._connections.get(command.connection_id)
         if connection is None:
             return
@@ -66,6 +69,7 @@
     def is_expected(
         self, connection: ClientConnection, response: HttpResponse
     ) -> bool:
+        """Tells whether a response belongs to the attempt that waits."""
         attempt = self._attempts.get(connection.connection_id)
         key = response.header(names.REQUEST_KEY)
         return attempt is not None and (key is None or key == attempt[1])
@@ -76,6 +80,7 @@
         response: HttpResponse,
         reusable: bool,
     ) -> None:
+        """Turns a response into an event."""
         attempt_id, _ = self._attempts.pop(connection.connection_id)
         self._inbox.put(
             events.AttemptAnswered(
@@ -88,6 +93,7 @@
         )
 
     def on_end(self, connection: ClientConnection, detail: str) -> None:
+        """Turns the end of a connection into an event."""
         self._end(connection.connection_id, True, detail)
 
     def _end(self, connection_id: int, opened: bool, detail: str) -> None:
--- a/src/snipesaddle/platform/front.py
+++ b/src/snipesaddle/platform/front.py
@@ -43,6 +43,7 @@
         self.heads: set[int] = set()
 
     def on_request(self, client_id: int, request: HttpRequest) -> None:
+        """Takes a request."""
         if request.method == b"HEAD":
             self.heads.add(client_id)
         arrived = ArrivedRequest(
@@ -58,6 +59,7 @@
         self._inbox.put(events.RequestArrived(arrived, self._now_ns()))
 
     def on_gone(self, client_id: int) -> None:
+        """Takes notice that a client left."""
         self.heads.discard(client_id)
         self._inbox.put(events.ClientGone(client_id))
 
@@ -70,6 +72,7 @@
         self.server = HttpServer(self)
 
     def on_request(self, client_id: int, request: HttpRequest) -> None:
+        """Takes a request."""
         path, _, query = request.target.partition(b"?")
         if path != names.DIRECTORY_PATH:
             self.server.respond(client_id, 404, b"Not Found", *_text(b""))
@@ -80,6 +83,7 @@
         self._inbox.put(events.DirectoryAsked(client_id, host, zone))
 
     def on_gone(self, client_id: int) -> None:
+        """Takes notice that a client left."""
         del client_id
 
 
@@ -91,6 +95,7 @@
         self.server = HttpServer(self)
 
     def on_request(self, client_id: int, request: HttpRequest) -> None:
+        """Takes a request."""
         if request.target.partition(b"?")[0] != names.READINESS_PATH:
             self.server.respond(client_id, 404, b"Not Found", *_text(b""))
         elif self.ready:
@@ -100,6 +105,7 @@
             self.server.respond(client_id, 503, reason, *_text(b"not ready"))
 
     def on_gone(self, client_id: int) -> None:
+        """Takes notice that a client left."""
         del client_id
 
 
@@ -132,6 +138,7 @@
             server.stop()
 
     def pass_answer(self, command: commands.PassAnswer) -> None:
+        """Writes an endpoint's answer as it came."""
         answer = command.answer
         kept = headers.end_to_end(answer.headers, _NO_OWN)
         length = b"%d" % len(answer.body)
@@ -148,6 +155,7 @@
         )
 
     def merged_answer(self, command: commands.MergedAnswer) -> None:
+        """Writes a merged answer with its signatures."""
         self._server.respond(
             command.client_id,
             200,
@@ -163,6 +171,7 @@
         )
 
     def refuse(self, command: commands.RefuseClient) -> None:
+        """Writes a final answer of this node's own."""
         self._requests.heads.discard(command.client_id)
         status, reason = _STATUSES[command.refusal]
         fields, body = _text(command.detail.encode())
@@ -174,6 +183,7 @@
         )
 
     def answer_directory(self, command: commands.AnswerDirectory) -> None:
+        """Writes which nodes a client may use."""
         body = msgspec.json.encode(
             {
                 "addrs": command.addresses,
@@ -192,9 +202,11 @@
             server.respond(command.client_id, 503, reason, fields, body)
 
     def set_readiness(self, ready: bool) -> None:
+        """Sets what the platform is told of this node."""
         self._readiness.ready = ready
 
     def set_limits(self, limits: ClientLimits) -> None:
+        """Sets the bounds on what clients may send."""
         self._server.limits = ServerLimits(
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
@@ -203,6 +215,7 @@
         )
 
     def close_idle(self) -> None:
+        """Closes client connections without a request."""
         self._server.close_idle()
 
 
--- a/src/snipesaddle/platform/headers.py
+++ b/src/snipesaddle/platform/headers.py
@@ -22,8 +22,7 @@
 def end_to_end(headers: Headers, own: frozenset[bytes]) -> Headers:
     """Returns the headers to pass on.
 
-    Args:
-      own: further names, in lower case, that this node sets itself.
+    The names in `own`, in lower case, are those that this node sets itself.
     """
     named: set[bytes] = set()
     for name, value in headers:
--- a/src/snipesaddle/platform/store.py
+++ b/src/snipesaddle/platform/store.py
@@ -32,6 +32,7 @@
 class _ItemValue(msgspec.Struct):
     key: str
     value: str = ""
+    revision: int = 0
     removed: bool = False
 
 
@@ -82,6 +83,7 @@
     async def list(
         self, command: commands.ListRange
     ) -> events.RangeListed | events.RangeFailed:
+        """Reads one page of a range."""
         prefix = _PREFIXES[command.range]
         query = {"prefix": prefix}
         if command.after_key:
@@ -100,11 +102,15 @@
             revision=page.store_revision,
             last_key=page.items[-1].key if page.items else "",
             has_more=page.has_more and bool(page.items),
+            item_revision=max(
+                (item.revision for item in page.items), default=0
+            ),
         )
 
     async def watch(
         self, command: commands.WatchRange
     ) -> events.RangeChanged | events.RangeFailed:
+        """Waits for changes of a range."""
         query = {
             "prefix": _PREFIXES[command.range],
             "after": str(command.revision),
@@ -124,6 +130,7 @@
     async def write_presence(
         self, command: commands.WritePresence
     ) -> events.PresenceWritten | events.PresenceFailed:
+        """Writes this node's record under a lease."""
         try:
             lease_id = command.lease_id or await self._grant(command)
             value = records.encode_node(command.record)
@@ -143,6 +150,7 @@
     async def renew_presence(
         self, command: commands.RenewPresence
     ) -> events.PresenceWritten | events.PresenceFailed:
+        """Renews the lease of this node's record."""
         target = f"{names.STORE_RENEW}{command.lease_id}"
         try:
             await self._call("POST", target, {}, None, command.timeout_ms)
@@ -151,6 +159,7 @@
         return events.PresenceWritten(command.lease_id)
 
     async def remove_presence(self, command: commands.RemovePresence) -> None:
+        """Ends the lease of this node's record."""
         target = f"{names.STORE_END_LEASE}{command.lease_id}"
         try:
             await self._call("DELETE", target, {}, None, command.timeout_ms)
@@ -159,12 +168,14 @@
             return
 
     def decode_config(self, source: bytes) -> RouteConfig | None:
+        """Decodes a configuration; None if it cannot be read."""
         try:
             return records.decode_config(source)
         except msgspec.MsgspecError:
             return None
 
     def close(self) -> None:
+        """Closes the connections."""
         self._caller.close()
 
     async def _grant(self, command: commands.WritePresence) -> int:
@@ -201,8 +212,8 @@
 
 def _change(item: _ItemValue) -> Change:
     if item.removed:
-        return Change(records.row_key(item.key), None)
-    return Change(*_decode(item))
+        return Change(records.row_key(item.key), None, item.revision)
+    return Change(*_decode(item), item.revision)
 
 
 def _presence_failed(error: Exception) -> events.PresenceFailed:
--- /dev/null
+++ b/tests/unit/forwarding/test_store.py
@@ -0,0 +1,151 @@
+"""Mirrors of the store: outages, lost history, and what lapses meanwhile."""
+
+import pytest
+from standins.forwarding import (
+    ForwardTicks,
+    entry,
+    pass_route,
+)
+
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.commands import Refusal
+from snipesaddle._internal.tables.forwarding.endpoints import Registration
+from snipesaddle._internal.tables.forwarding.messages import (
+    ConfigShare,
+    EndpointsShare,
+)
+from snipesaddle._internal.tables.forwarding.mirrors import Range, Unreadable
+
+
+@pytest.fixture
+def ticks() -> ForwardTicks:
+    return ForwardTicks([pass_route()], [entry("f1", "file")])
+
+
+def lose_store(ticks: ForwardTicks) -> None:
+    for _ in range(3):
+        ticks.fail(Range.ENDPOINTS)
+
+
+def test_a_draining_endpoint_gets_no_more_work(ticks: ForwardTicks) -> None:
+    drained = entry("f1", "file", registration=Registration.DRAINING)
+    ticks.change(Range.ENDPOINTS, "f1", drained)
+    ticks.ask(b"/file/7")
+    assert not ticks.taken(commands.SendAttempt)
+
+
+def test_a_removed_endpoint_gets_no_more_work(ticks: ForwardTicks) -> None:
+    ticks.change(Range.ENDPOINTS, "f1", None)
+    ticks.ask(b"/file/7")
+    assert not ticks.taken(commands.SendAttempt)
+
+
+def test_an_endpoint_that_lapsed_in_an_outage_serves_on(
+    ticks: ForwardTicks,
+) -> None:
+    lose_store(ticks)
+    ticks.advance(3_000, 100)
+    ticks.list_entries([])
+    ticks.ask(b"/file/7")
+    assert ticks.taken(commands.SendAttempt)
+    ticks.advance(2_300, 100)
+    ticks.ask(b"/file/7")
+    assert not ticks.taken(commands.SendAttempt)
+
+
+def test_an_endpoint_that_is_back_in_time_is_kept(
+    ticks: ForwardTicks,
+) -> None:
+    lose_store(ticks)
+    ticks.list_entries([])
+    ticks.advance(1_000, 100)
+    ticks.change(Range.ENDPOINTS, "f1", entry("f1", "file"))
+    ticks.advance(3_000, 100)
+    ticks.ask(b"/file/7")
+    assert ticks.taken(commands.SendAttempt)
+
+
+def test_an_unreadable_entry_names_no_endpoint(ticks: ForwardTicks) -> None:
+    ticks.change(Range.ENDPOINTS, "f1", Unreadable("state: no such state"))
+    ticks.ask(b"/file/7")
+    assert not ticks.taken(commands.SendAttempt)
+
+
+def test_a_second_life_starts_without_connections(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.ask(b"/file/7")
+    ticks.answer(ticks.taken(commands.SendAttempt)[0])
+    reborn = entry("f1", "file", born_unix_ms=2)
+    ticks.change(Range.ENDPOINTS, "f1", reborn)
+    assert ticks.taken(commands.CloseConnection)
+    assert not ticks.world.endpoints["f1"].idle
+
+
+def test_a_lost_history_is_listed_again(ticks: ForwardTicks) -> None:
+    ticks.taken(commands.ListRange)
+    ticks.fail(Range.ENDPOINTS, history_lost=True)
+    ticks.advance(10)
+    (listed,) = ticks.taken(commands.ListRange)
+    assert listed.range is Range.ENDPOINTS
+    assert ticks.world.store.is_ok
+
+
+def test_a_configuration_never_goes_back(ticks: ForwardTicks) -> None:
+    ticks.publish(7, [pass_route(name="new", prefix=b"/new/")])
+    ticks.publish(3, [pass_route()])
+    assert ticks.world.active.version == 7
+
+
+def test_without_a_configuration_nothing_is_denied() -> None:
+    ticks = ForwardTicks([], [])
+    ticks.world.active.config = type(ticks.world.active)().config
+    ticks.ask(b"/file/7")
+    (refused,) = ticks.taken(commands.RefuseClient)
+    assert refused.refusal == Refusal.NOT_RUN
+
+
+def test_a_peer_without_the_store_is_given_what_it_lacks(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.beat("e2", store_ok=False, config_version=0, endpoints_revision=0)
+    shared = [c.message for c in ticks.taken(commands.SendToNode)]
+    assert ConfigShare(1, b"config 1") in shared
+    (endpoints,) = [m for m in shared if isinstance(m, EndpointsShare)]
+    assert [e.endpoint_id for e in endpoints.entries] == ["f1"]
+
+
+def test_endpoints_come_from_a_peer_while_the_store_is_lost(
+    ticks: ForwardTicks,
+) -> None:
+    lose_store(ticks)
+    ticks.tick(EndpointsShare(99, (entry("f9", "file"),)))
+    assert set(ticks.world.endpoints) == {"f9"}
+
+
+def test_an_older_list_of_a_peer_changes_nothing(ticks: ForwardTicks) -> None:
+    ticks.tick(EndpointsShare(9, ()))
+    assert set(ticks.world.endpoints) == {"f1"}
+
+
+def test_a_stuck_watch_is_made_good_by_a_peer(ticks: ForwardTicks) -> None:
+    def shares() -> list[EndpointsShare]:
+        sent = [c.message for c in ticks.taken(commands.SendToNode)]
+        return [m for m in sent if isinstance(m, EndpointsShare)]
+
+    ticks.change(Range.ENDPOINTS, "f2", entry("f2", "file"))
+    ticks.beat("e2", endpoints_revision=10)
+    assert not shares()
+    ticks.advance(1_500, 100)
+    ticks.beat("e2", endpoints_revision=10)
+    (share,) = shares()
+    assert {e.endpoint_id for e in share.entries} == {"f1", "f2"}
+
+
+def test_a_lost_lease_is_taken_again(ticks: ForwardTicks) -> None:
+    ticks.tick(events.PresenceWritten(5))
+    ticks.taken(commands.WritePresence)
+    ticks.tick(events.PresenceFailed(True, "status 404"))
+    ticks.advance(600, 100)
+    (write,) = ticks.taken(commands.WritePresence)
+    assert write.lease_id == 0
