Leave aside endpoints that refuse a part of their work, and try dead ones singly

After an ejection, all requests of the next 0.3 s waited on a dead endpoint. Ruled out: too small a budget, since other endpoints of the shards had room. Two load tests failed first.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -160,6 +160,7 @@
         elif answer.not_run:
             world.counters.endpoint_refusals += 1
             standing.note_refusal(endpoint, now_ns)
+            standing.note_quality(endpoint, True, now_ns)
         else:
             failed = answer.status >= 500
             standing.note_quality(endpoint, failed, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/standing.py
+++ b/src/snipesaddle/_internal/systems/forwarding/standing.py
@@ -119,8 +119,11 @@
 def is_usable(endpoint: Endpoint, now_ns: int) -> bool:
     """Tells whether an endpoint may be tried at all now.
 
-    An ejected endpoint is tried again when its time is over.
+    An ejected endpoint is tried again when its time is over, by one attempt
+    at a time until it has answered one.
     """
+    if endpoint.failures and endpoint.in_flight:
+        return False
     return endpoint.accepts_work() and now_ns >= endpoint.ejected_until_ns
 
 
