--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -3,6 +3,7 @@
 from snipesaddle._internal.systems.forwarding import (
     completion,
     hedging,
+    patience,
     placement,
     relaying,
 )
@@ -25,9 +26,7 @@
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 from snipesaddle._internal.tables.timers import TimerKind
 
-# What the answer needs for its way to the client, a new connection included.
-_AIM_MARGIN_MS = 12
-_AIM_MARGIN_SHARE = 0.03
+# What an answer at the end of the time limit needs for its way.
 _RETURN_MS = 8
 _STARTING_RETRY_MS = 300
 
@@ -90,8 +89,6 @@
         if arrived.time_limit_ms is not None:
             own_ms = max(1, arrived.time_limit_ms - _RETURN_MS)
             limit_ms = min(limit_ms, own_ms)
-        target_ms = route.target_latency_ms
-        aim_ms = target_ms * (1 - _AIM_MARGIN_SHARE) - _AIM_MARGIN_MS
         services = route.shards or (choose_target(world, route),)
         return Request(
             request_id=world.next_id(),
@@ -99,10 +96,11 @@
             route=route,
             config_version=world.active.version,
             arrived_ns=arrived_ns,
-            aim_ns=arrived_ns + int(max(1.0, aim_ms) * NS_PER_MS),
+            aim_ns=patience.aim_ns(route, arrived_ns),
             deadline_ns=arrived_ns + limit_ms * NS_PER_MS,
             parts=[Part(service) for service in services],
             open_parts=len(services),
+            total_parts=len(services),
         )
 
     def _refuse(
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -4,7 +4,11 @@
 import heapq
 import math
 
-from snipesaddle._internal.systems.forwarding import attempts
+from snipesaddle._internal.systems.forwarding import (
+    attempts,
+    hedging,
+    patience,
+)
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     Command,
@@ -69,8 +73,8 @@
 class MergeComposer(Composer):
     """Merges the greatest records of the shards that answered.
 
-    Until the target latency, waiting for all shards is best. From then on an
-    answer with enough shards is worth more than a later one with all.
+    Missing parts are waited for as long as patience goes; an answer with too
+    few parts is waited for until the deadline.
     """
 
     def compose(
@@ -80,7 +84,10 @@
         answered = [part.answer for part in request.parts if part.answer]
         needed = max(1, math.ceil(request.route.min_coverage * total - 1e-9))
         enough = len(answered) >= needed
-        if enough and (request.open_parts == 0 or now_ns >= request.aim_ns):
+        missing = total - len(answered)
+        request.settle_ns = patience.settle_ns(request, missing, total)
+        settled = request.open_parts == 0 or now_ns >= request.settle_ns
+        if enough and settled:
             return self._merge(world, request, answered)
         if len(answered) + request.open_parts < needed:
             return refuse(world, request, Refusal.FAILED)
@@ -115,9 +122,12 @@
     ) -> Command | None:
         origin = request.origin
         assert origin is not None
-        if request.open_parts and now_ns < request.aim_ns:
-            return None
         answers = [part.answer for part in request.parts]
+        request.settle_ns = patience.settle_ns(
+            request, answers.count(None), request.total_parts
+        )
+        if request.open_parts and now_ns < request.settle_ns:
+            return None
         bodies = [answer.body for answer in answers if answer]
         reply = RelayReply(
             relay_id=origin.relay_id,
@@ -151,14 +161,24 @@
     ) -> None:
         answer = self._composer(request).compose(world, request, now_ns)
         if answer is None:
-            if request.relays and now_ns >= request.aim_ns:
-                world.overdue.append(request.request_id)
+            self._wait(world, request, now_ns)
             return
         world.emit(answer)
         if request.origin is None:
             _record(world, request, answer, now_ns)
         finish(world, request, now_ns)
 
+    def _wait(self, world: ForwardWorld, request: Request, now_ns: int) -> None:
+        grace_ns = hedging.RELAY_GRACE_NS
+        if request.relays and now_ns >= request.aim_ns + grace_ns:
+            world.overdue.append(request.request_id)
+        if request.settle_ns > now_ns:
+            world.timers.set(
+                TimerKind.REQUEST,
+                request.request_id,
+                hedging.next_look_ns(request, now_ns),
+            )
+
     def _composer(self, request: Request) -> Composer:
         if request.origin is not None:
             return self._relay
--- a/src/snipesaddle/_internal/systems/forwarding/directory.py
+++ b/src/snipesaddle/_internal/systems/forwarding/directory.py
@@ -54,7 +54,8 @@
             (record.zone, record.front_address)
             for record in fleet.live_nodes(world, now_ns)
         ]
-        if world.me.phase is NodePhase.SERVING:
+        serving = world.me.phase is NodePhase.SERVING
+        if serving and (fleet.is_active(world) or not nodes):
             nodes.append((world.me.zone, world.me.front_address))
         for event in asked:
             self._answer(world, event, nodes)
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -1,8 +1,9 @@
 """Fleet: candidates from the store, liveness from heartbeats.
 
-Each node exchanges heartbeats with a bounded set of neighbours on a ring of
-hashed names. A heartbeat says what its sender knows; who lacks a newer
-configuration, or cannot reach the store, is given it.
+Clients are sent to the active nodes: as many as the load needs, some in each
+zone. Active nodes send heartbeats to all others. A heartbeat says what its
+sender knows; who lacks a newer configuration, or cannot reach the store, is
+given it.
 """
 
 from collections.abc import Mapping
@@ -29,61 +30,127 @@
 from snipesaddle._internal.tables.timers import TimerKind
 
 _BEAT = "beat"
+_NS_PER_S = 1_000_000_000
 _SHARE_GAP_NS = 500 * NS_PER_MS
 # A watch that says nothing for so long, while others see changes, is stuck.
 _BEHIND_NS = 1_200 * NS_PER_MS
+# After this, any node helps, and not only the one whose turn it is.
+_LONG_BEHIND_NS = 3_000 * NS_PER_MS
 _FORGET_NS = 30_000 * NS_PER_MS
 _SIZE_MEMORY_NS = 30_000 * NS_PER_MS
 
 
+def beat_interval_ns(world: ForwardWorld) -> int:
+    """Returns the time between two heartbeats of this node."""
+    settings = world.settings.fleet
+    factor = 1 if len(world.fleet.nodes) < settings.small else 2
+    return settings.heartbeat_ms * factor * NS_PER_MS
+
+
 def is_live(world: ForwardWorld, node: FleetNode, now_ns: int) -> bool:
     """Tells whether a node is held to be up.
 
-    A neighbour is up while its heartbeats come; any other node while the
-    store holds its record. A new neighbour gets time for its first heartbeat.
+    A node that sends heartbeats is up while they come. One that is not heard
+    is up while the store holds its record, unless it is active and so has to
+    be heard.
     """
-    suspect_ns = world.settings.fleet.suspect_after_ms * NS_PER_MS
-    if now_ns - node.heard_ns <= suspect_ns and node.heard_ns:
+    interval_ns = beat_interval_ns(world)
+    suspect_ns = int(interval_ns * world.settings.fleet.missed_beats)
+    if node.heard_ns and now_ns - node.heard_ns <= suspect_ns:
         return True
-    if not node.registered:
+    if not node.registered or node.heard_ns:
         return False
-    if node.heard_ns == 0 and not _is_neighbour(world, node):
-        return True
-    return now_ns - node.added_ns <= suspect_ns
+    since_ns = max(node.active_since_ns, node.added_ns)
+    return node.active_since_ns == 0 or now_ns - since_ns <= suspect_ns
 
 
 def live_nodes(world: ForwardWorld, now_ns: int) -> list[NodeRecord]:
-    """Returns the records of the other nodes that are up and serve."""
+    """Returns the records of the other active nodes that are up."""
     return [
         node.record
-        for node in world.fleet.nodes.values()
-        if node.record.phase is NodePhase.SERVING
+        for node_id, node in world.fleet.nodes.items()
+        if node_id in world.fleet.active
+        and node.record.phase is NodePhase.SERVING
         and is_live(world, node, now_ns)
     ]
 
 
-def neighbours(world: ForwardWorld) -> list[FleetNode]:
-    """Returns the nodes with which this one exchanges heartbeats."""
-    nodes = list(world.fleet.nodes.values())
-    count = world.settings.fleet.neighbours
-    if len(nodes) <= count:
-        return nodes
-    me = rendezvous.weight(world.me.node_id, "ring")
-    nodes.sort(
-        key=lambda node: (
-            (rendezvous.weight(node.record.node_id, "ring") - me) % 2**64
-        )
-    )
-    return nodes[: count // 2] + nodes[-(count - count // 2) :]
+def is_active(world: ForwardWorld) -> bool:
+    """Tells whether clients are sent to this node."""
+    return world.me.node_id in world.fleet.active
+
+
+def choose_active(world: ForwardWorld, now_ns: int) -> frozenset[str]:
+    """Returns the nodes that clients are to use, by the load of all.
+
+    Few nodes with warm connections serve better than many with cold ones. All
+    nodes rank the fleet in the same way, zone by zone.
+    """
+    by_zone: dict[str, list[str]] = {}
+    load = world.fleet.attempts_per_s
+    if world.me.phase is NodePhase.SERVING:
+        by_zone[world.me.zone] = [world.me.node_id]
+    for node_id, node in world.fleet.nodes.items():
+        is_up = is_live(world, node, now_ns)
+        if is_up and node.record.phase is NodePhase.SERVING:
+            by_zone.setdefault(node.record.zone, []).append(node_id)
+            load += node.record.attempts_per_s
+    settings = world.settings.fleet
+    wanted = max(settings.min_active, load // settings.attempts_per_node + 1)
+    zones = max(1, len(by_zone))
+    active: list[str] = []
+    for node_ids in by_zone.values():
+        count = -(-wanted // zones)
+        active += rendezvous.ranked(node_ids, "active", count)
+    return frozenset(active)
+
+
+def listeners(world: ForwardWorld) -> list[FleetNode]:
+    """Returns the nodes that this one sends its heartbeats to.
+
+    An active node tells all; any other node tells the active ones of its own
+    zone, since bytes between zones are dear.
+    """
+    fleet = world.fleet
+    nodes = list(fleet.nodes.values())
+    small = len(nodes) < world.settings.fleet.small
+    if small or not fleet.active or is_active(world):
+        return nodes[: world.settings.fleet.reach]
+    return [
+        node
+        for node_id, node in fleet.nodes.items()
+        if node_id in fleet.active and node.record.zone == world.me.zone
+    ]
 
 
 def announce(world: ForwardWorld) -> None:
-    """Sends a heartbeat to all neighbours at once."""
+    """Sends a heartbeat to all nodes that listen to this one."""
     beat = NodeBeat(record_of_self(world))
-    for node in neighbours(world):
+    for node in listeners(world):
         world.emit(SendToNode(node.record.peer_address, beat))
 
 
+def _is_helper(world: ForwardWorld, node_id: str) -> bool:
+    """Tells whether this node is the one that helps a node that lacks data."""
+    helpers = (world.fleet.active | {world.me.node_id}) - {node_id}
+    return world.me.node_id in rendezvous.ranked(helpers, node_id, 1)
+
+
+def refresh_active(world: ForwardWorld, now_ns: int) -> None:
+    """Chooses the active nodes anew, and logs a change."""
+    world.fleet.active_is_stale = False
+    active = choose_active(world, now_ns)
+    if active == world.fleet.active:
+        return
+    for node_id, node in world.fleet.nodes.items():
+        if node_id not in active:
+            node.active_since_ns = 0
+        elif not node.active_since_ns:
+            node.active_since_ns = now_ns
+    world.fleet.active = active
+    world.log("active_nodes", nodes=sorted(active))
+
+
 class FleetSystem(TickSystem[ForwardWorld]):
     """Keeps the table of the other nodes."""
 
@@ -102,11 +169,28 @@
         for beat in world.inbox.take(NodeBeat):
             self._heard(world, beat.node, now_ns)
         for _ in world.timers.pop_due(TimerKind.BEAT, now_ns):
-            announce(world)
-            self._forget(world, now_ns)
-            self._note_size(world, now_ns)
-            interval_ns = world.settings.fleet.heartbeat_ms * NS_PER_MS
-            world.timers.set(TimerKind.BEAT, _BEAT, now_ns + interval_ns)
+            self._beat(world, now_ns)
+        if world.fleet.active_is_stale:
+            refresh_active(world, now_ns)
+
+    def _beat(self, world: ForwardWorld, now_ns: int) -> None:
+        self._measure(world, now_ns)
+        refresh_active(world, now_ns)
+        announce(world)
+        self._forget(world, now_ns)
+        self._note_size(world, now_ns)
+        due_ns = now_ns + beat_interval_ns(world)
+        world.timers.set(TimerKind.BEAT, _BEAT, due_ns)
+
+    def _measure(self, world: ForwardWorld, now_ns: int) -> None:
+        fleet = world.fleet
+        span_ns = now_ns - fleet.beat_ns
+        if span_ns <= 0:
+            return
+        made = world.counters.attempts - fleet.attempts_counted
+        fleet.attempts_per_s = made * _NS_PER_S // span_ns
+        fleet.attempts_counted = world.counters.attempts
+        fleet.beat_ns = now_ns
 
     def _apply_list(
         self, world: ForwardWorld, items: Mapping[str, object], now_ns: int
@@ -134,6 +218,7 @@
     ) -> FleetNode:
         node = world.fleet.nodes.get(record.node_id)
         if node is None:
+            world.fleet.active_is_stale = True
             node = FleetNode(record, added_ns=now_ns)
             world.fleet.nodes[record.node_id] = node
             world.log("node_added", peer=record.node_id, zone=record.zone)
@@ -148,6 +233,7 @@
         if record.incarnation != old.incarnation:
             node.added_ns = now_ns
         if record.phase is not old.phase:
+            world.fleet.active_is_stale = True
             world.log(
                 "node_phase", peer=record.node_id, phase=record.phase.value
             )
@@ -160,6 +246,8 @@
         self, world: ForwardWorld, record: NodeRecord, now_ns: int
     ) -> None:
         node = self._upsert(world, record, now_ns)
+        if not is_live(world, node, now_ns):
+            world.fleet.active_is_stale = True
         if node.record.incarnation == record.incarnation:
             node.heard_ns = now_ns
         if now_ns - node.shared_ns < _SHARE_GAP_NS:
@@ -174,10 +262,12 @@
         if record.endpoints_revision >= world.endpoints_revision:
             node.behind_since_ns = 0
             return False
-        if not record.store_ok or not record.endpoints_revision:
-            return True
         node.behind_since_ns = node.behind_since_ns or now_ns
-        return now_ns - node.behind_since_ns > _BEHIND_NS
+        behind_ns = now_ns - node.behind_since_ns
+        if behind_ns > _LONG_BEHIND_NS:
+            return True
+        patience_ns = _BEHIND_NS if record.store_ok else 0
+        return behind_ns >= patience_ns and _is_helper(world, record.node_id)
 
     def _share(
         self,
@@ -223,9 +313,3 @@
         if size >= fleet.size_seen or expired:
             fleet.size_seen = size
             fleet.size_seen_ns = now_ns
-
-
-def _is_neighbour(world: ForwardWorld, node: FleetNode) -> bool:
-    if len(world.fleet.nodes) <= world.settings.fleet.neighbours:
-        return True
-    return any(other is node for other in neighbours(world))
--- a/src/snipesaddle/_internal/systems/forwarding/hedging.py
+++ b/src/snipesaddle/_internal/systems/forwarding/hedging.py
@@ -12,7 +12,7 @@
     retries,
 )
 from snipesaddle._internal.systems.forwarding.standing import EndpointChooser
-from snipesaddle._internal.systems.tick import TickSystem
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.requests import (
     Part,
     PartState,
@@ -21,6 +21,9 @@
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 from snipesaddle._internal.tables.timers import TimerKind
 
+# How long after the aim a relay is waited for.
+RELAY_GRACE_NS = 10 * NS_PER_MS
+
 
 class HedgingSystem(TickSystem[ForwardWorld]):
     """Looks at the requests whose time has come, and sets the next time."""
@@ -84,8 +87,13 @@
 def next_look_ns(request: Request, now_ns: int) -> int:
     """Returns when a request needs a look, if nothing happens before."""
     due_ns = request.deadline_ns
-    if request.aim_ns > now_ns:
-        due_ns = min(due_ns, request.aim_ns)
+    for look_ns in (
+        request.settle_ns,
+        request.aim_ns,
+        request.aim_ns + RELAY_GRACE_NS,
+    ):
+        if look_ns > now_ns:
+            due_ns = min(due_ns, look_ns)
     for part in request.parts:
         if part.hedge_ns and part.state is PartState.RUNNING:
             due_ns = min(due_ns, part.hedge_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -55,6 +55,7 @@
         world.me.phase = NodePhase.SERVING
         world.presence.stale = True
         presence.retract(world, now_ns)
+        fleet.refresh_active(world, now_ns)
         fleet.announce(world)
         world.emit(SetReadiness(True))
         world.log(
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -37,6 +37,7 @@
         store_ok=world.store.is_ok,
         endpoints_revision=world.endpoints_revision,
         sequence=me.sequence,
+        attempts_per_s=world.fleet.attempts_per_s,
     )
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -36,7 +36,7 @@
 
 _MIN_PARTS = 3
 # What the reply needs for its way back.
-_RETURN_MS = 4
+_RETURN_MS = 7
 _DISTRUST_NS = 2_000 * NS_PER_MS
 _OK = 200
 
@@ -95,9 +95,10 @@
     world: ForwardWorld, now_ns: int
 ) -> dict[str, list[FleetNode]]:
     by_zone: dict[str, list[FleetNode]] = {}
-    for node in world.fleet.nodes.values():
+    for node_id, node in world.fleet.nodes.items():
         if (
-            node.record.phase is NodePhase.SERVING
+            node_id in world.fleet.active
+            and node.record.phase is NodePhase.SERVING
             and now_ns >= node.no_relays_until_ns
             and fleet.is_live(world, node, now_ns)
         ):
@@ -143,6 +144,7 @@
         max_attempts=route.max_attempts,
         priority=route.priority,
         top_k=route.top_k,
+        total_parts=len(request.parts),
     )
     world.emit(SendToNode(relay.peer_address, ask))
 
@@ -297,5 +299,6 @@
         deadline_ns=now_ns + max(1, ask.time_left_ms) * NS_PER_MS,
         parts=[Part(service) for service in ask.services],
         open_parts=len(ask.services),
+        total_parts=ask.total_parts,
         origin=origin,
     )
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -34,6 +34,7 @@
     store_ok: bool = True
     endpoints_revision: int = 0
     sequence: int = 0
+    attempts_per_s: int = 0
 
 
 @dataclass(slots=True)
@@ -45,6 +46,8 @@
       heard_ns: when its last heartbeat came; 0 for never.
       shared_ns: when it was last sent what it lacked.
       behind_since_ns: since when it lacks changes of endpoints; 0 for never.
+      active_since_ns: since when it is held to be active, and so has to send
+        heartbeats to all; 0 while it is not.
       no_relays_until_ns: until when nothing is relayed to it, since it left
         a relay without an answer.
     """
@@ -55,6 +58,7 @@
     heard_ns: int = 0
     shared_ns: int = 0
     behind_since_ns: int = 0
+    active_since_ns: int = 0
     no_relays_until_ns: int = 0
 
 
@@ -102,9 +106,18 @@
     """What this node knows of the fleet.
 
     Attributes:
+      active: the ids of the nodes that clients are sent to.
+      active_is_stale: a node came, changed or was heard again.
+      attempts_counted: this node's attempts at the last heartbeat.
+      beat_ns: when the last heartbeat was sent.
       size_seen: the most nodes known at once lately, this one included.
     """
 
     nodes: dict[str, FleetNode] = field(default_factory=dict)
+    active: frozenset[str] = frozenset()
+    active_is_stale: bool = True
+    attempts_counted: int = 0
+    attempts_per_s: int = 0
+    beat_ns: int = 0
     size_seen: int = 1
     size_seen_ns: int = 0
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -40,6 +40,7 @@
 
     Attributes:
       services: the shards to ask.
+      total_parts: the parts of the whole request.
       aim_left_ms: when the parts that are in by then are to be sent back.
       time_left_ms: when the client's time is up.
     """
@@ -60,6 +61,7 @@
     max_attempts: int
     priority: int
     top_k: int
+    total_parts: int
 
 
 class RelayReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -130,6 +130,9 @@
     """A request in progress.
 
     Attributes:
+      settle_ns: when the parts that are in make an answer; 0 until known.
+      total_parts: the parts of the whole request, those included that another
+        node asks for.
       origin: the node that asks for it; None when a client does.
       relays: the relays that are not answered yet.
       aim_ns: when an incomplete answer is worth more than a later whole one.
@@ -146,6 +149,8 @@
     deadline_ns: int
     parts: list[Part]
     open_parts: int
+    settle_ns: int = 0
+    total_parts: int = 0
     origin: RelayOrigin | None = None
     relays: list[int] = field(default_factory=list)
     prepared: object = None
