--- a/src/snipesaddle/_internal/systems/forwarding/mirroring.py
+++ b/src/snipesaddle/_internal/systems/forwarding/mirroring.py
@@ -107,7 +107,7 @@
             world.log(
                 "store_lost", range=mirror.range.value, detail=event.detail
             )
-        delay_ns = self._backoff_ns(world, mirror.failures)
+        delay_ns = self._backoff_ns(world, mirror)
         self._schedule(world, mirror, now_ns + delay_ns)
 
     def _answered(
@@ -139,10 +139,13 @@
     ) -> None:
         world.timers.set(TimerKind.MIRROR, mirror.range, due_ns)
 
-    def _backoff_ns(self, world: ForwardWorld, failures: int) -> int:
+    def _backoff_ns(self, world: ForwardWorld, mirror: Mirror) -> int:
         settings = world.settings.store
-        doubled = settings.retry_min_ms * 2 ** min(failures, _MAX_DOUBLINGS)
-        delay_ms = min(doubled, settings.retry_max_ms)
+        doublings = min(mirror.failures, _MAX_DOUBLINGS)
+        # A node that knows nothing yet serves nobody until it does.
+        is_new = mirror.synced_ns == 0
+        most_ms = settings.start_retry_ms if is_new else settings.retry_max_ms
+        delay_ms = min(settings.retry_min_ms * 2**doublings, most_ms)
         return int(delay_ms * NS_PER_MS * (0.5 + world.rng.random() / 2))
 
     def _call(self, world: ForwardWorld, mirror: Mirror) -> None:
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -142,6 +142,16 @@
     assert {e.endpoint_id for e in share.entries} == {"f1", "f2"}
 
 
+def test_a_node_that_knows_nothing_asks_often(ticks: ForwardTicks) -> None:
+    ticks.world.mirrors[Range.ENDPOINTS].synced_ns = 0
+    for _ in range(8):
+        ticks.fail(Range.ENDPOINTS)
+    ticks.taken(commands.ListRange)
+    ticks.taken(commands.WatchRange)
+    ticks.advance(210, 10)
+    assert ticks.taken(commands.ListRange) + ticks.taken(commands.WatchRange)
+
+
 def test_a_lost_lease_is_taken_again(ticks: ForwardTicks) -> None:
     ticks.tick(events.PresenceWritten(5))
     ticks.taken(commands.WritePresence)
