Send endpoint lists only to nodes that are stuck, from their own zone

Change: a node is stuck when it has not reached the revision that it lacked 1.2 s ago; a node of its own zone helps. Log lines carry the endpoints' revision and the store's state; unread fields are gone; refusals are an enum.

--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -105,7 +105,7 @@
         self,
         world: ForwardWorld,
         arrived: ArrivedRequest,
-        refusal: str,
+        refusal: Refusal,
         detail: str,
     ) -> None:
         world.counters.refused += 1
@@ -113,9 +113,10 @@
         world.log(
             "request_refused",
             request=arrived.request_key,
-            refusal=refusal,
+            refusal=refusal.value,
             detail=detail,
             config_version=world.active.version,
+            store_ok=world.store.is_ok,
         )
         closing = world.me.phase is NodePhase.LEAVING
         world.emit(
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -211,7 +211,9 @@
     world.timers.cancel(TimerKind.REQUEST, request.request_id)
 
 
-def refuse(world: ForwardWorld, request: Request, refusal: str) -> RefuseClient:
+def refuse(
+    world: ForwardWorld, request: Request, refusal: Refusal
+) -> RefuseClient:
     """Returns the final answer for a request that cannot be served.
 
     It says "not run" only where no endpoint can have run any part of it.
@@ -268,6 +270,8 @@
         detail=answer.detail if isinstance(answer, RefuseClient) else "",
         latency_ms=latency_ns // NS_PER_MS,
         config_version=request.config_version,
+        endpoints_revision=world.endpoints_revision,
+        store_ok=world.store.is_ok,
         parts=len(request.parts),
         missing={
             part.service: part.cause.value
@@ -288,7 +292,7 @@
             counters.refused += 1
         else:
             counters.failed += 1
-        return answer.refusal
+        return answer.refusal.value
     counters.answered += 1
     if isinstance(answer, MergedAnswer) and answer.missing:
         counters.partial += 1
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -31,7 +31,7 @@
 
 _BEAT = "beat"
 _NS_PER_S = 1_000_000_000
-_SHARE_GAP_NS = 500 * NS_PER_MS
+_SHARE_GAP_NS = 900 * NS_PER_MS
 # A watch that says nothing for so long, while others see changes, is stuck.
 _BEHIND_NS = 1_200 * NS_PER_MS
 # After this, any node helps, and not only the one whose turn it is.
@@ -130,10 +130,21 @@
         world.emit(SendToNode(node.record.peer_address, beat))
 
 
-def _is_helper(world: ForwardWorld, node_id: str) -> bool:
-    """Tells whether this node is the one that helps a node that lacks data."""
-    helpers = (world.fleet.active | {world.me.node_id}) - {node_id}
-    return world.me.node_id in rendezvous.ranked(helpers, node_id, 1)
+def _is_helper(world: ForwardWorld, needy: NodeRecord) -> bool:
+    """Tells whether this node is the one that helps a node that lacks data.
+
+    One of the same zone helps, where there is one: lists are long.
+    """
+    zones = {
+        node_id: node.record.zone
+        for node_id, node in world.fleet.nodes.items()
+        if node_id in world.fleet.active
+    }
+    zones[world.me.node_id] = world.me.zone
+    zones.pop(needy.node_id, None)
+    near = [name for name, zone in zones.items() if zone == needy.zone]
+    helpers = near or list(zones)
+    return world.me.node_id in rendezvous.ranked(helpers, needy.node_id, 1)
 
 
 def refresh_active(world: ForwardWorld, now_ns: int) -> None:
@@ -260,14 +271,17 @@
     ) -> bool:
         record = node.record
         if record.endpoints_revision >= world.endpoints_revision:
-            node.behind_since_ns = 0
+            node.behind_revision = 0
             return False
-        node.behind_since_ns = node.behind_since_ns or now_ns
+        if record.endpoints_revision >= node.behind_revision:
+            # It has caught up with what it lacked before: it is not stuck.
+            node.behind_since_ns = now_ns
+            node.behind_revision = world.endpoints_revision
         behind_ns = now_ns - node.behind_since_ns
         if behind_ns > _LONG_BEHIND_NS:
             return True
         patience_ns = _BEHIND_NS if record.store_ok else 0
-        return behind_ns >= patience_ns and _is_helper(world, record.node_id)
+        return behind_ns >= patience_ns and _is_helper(world, record)
 
     def _share(
         self,
--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -85,6 +85,7 @@
             service=request.parts[attempt.part_index].service,
             endpoint=attempt.endpoint_id,
             sent=sent,
+            runs=request.parts[attempt.part_index].runs,
             age_ms=(now_ns - attempt.chosen_ns) // NS_PER_MS,
             detail=detail,
         )
--- a/src/snipesaddle/_internal/systems/forwarding/standing.py
+++ b/src/snipesaddle/_internal/systems/forwarding/standing.py
@@ -86,6 +86,8 @@
         endpoint=endpoint.endpoint_id,
         service=endpoint.entry.service,
         failures=endpoint.failures,
+        in_flight=endpoint.in_flight,
+        listed=endpoint.listed,
         for_ms=span_ns // NS_PER_MS,
         detail=detail,
     )
--- a/src/snipesaddle/_internal/tables/forwarding/commands.py
+++ b/src/snipesaddle/_internal/tables/forwarding/commands.py
@@ -1,5 +1,6 @@
 """Commands: what systems ask adapters to carry out after a tick."""
 
+import enum
 from dataclasses import dataclass, field
 
 from snipesaddle._internal.tables.forwarding.fleet import NodeRecord
@@ -42,8 +43,8 @@
     time_left_ms: int
 
 
-class Refusal:
-    """Kinds of final answers of this node's own, as constants."""
+class Refusal(enum.Enum):
+    """Kinds of final answers of this node's own."""
 
     NO_ROUTE = "no_route"
     BAD_REQUEST = "bad_request"
@@ -81,7 +82,7 @@
     """
 
     client_id: int
-    refusal: str
+    refusal: Refusal
     detail: str
     retry_after_ms: int
     closing: bool
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -45,7 +45,9 @@
       registered: the store holds its record.
       heard_ns: when its last heartbeat came; 0 for never.
       shared_ns: when it was last sent what it lacked.
-      behind_since_ns: since when it lacks changes of endpoints; 0 for never.
+      behind_revision: the revision of endpoints that it was seen to lack; 0
+        for none.
+      behind_since_ns: since when it lacks that.
       active_since_ns: since when it is held to be active, and so has to send
         heartbeats to all; 0 while it is not.
       no_relays_until_ns: until when nothing is relayed to it, since it left
@@ -57,6 +59,7 @@
     added_ns: int = 0
     heard_ns: int = 0
     shared_ns: int = 0
+    behind_revision: int = 0
     behind_since_ns: int = 0
     active_since_ns: int = 0
     no_relays_until_ns: int = 0
@@ -97,8 +100,6 @@
     lease_id: int = 0
     calling: bool = False
     stale: bool = True
-    due_ns: int = 0
-    failures: int = 0
 
 
 @dataclass(slots=True)
--- a/src/snipesaddle/_internal/tables/forwarding/mirrors.py
+++ b/src/snipesaddle/_internal/tables/forwarding/mirrors.py
@@ -66,7 +66,6 @@
     after_key: str = ""
     listed: dict[str, Item] = field(default_factory=dict)
     calling: bool = False
-    due_ns: int = 0
     failures: int = 0
     synced_ns: int = 0
 
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -99,7 +99,6 @@
     cause: MissingCause = MissingCause.NONE
     hedge_ns: int = 0
     hedged: bool = False
-    retry_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -32,7 +32,6 @@
     REQUEST = enum.auto()
     PART_RETRY = enum.auto()
     ATTEMPT = enum.auto()
-    CONNECTION = enum.auto()
 
 
 class Timers:
--- a/src/snipesaddle/platform/front.py
+++ b/src/snipesaddle/platform/front.py
@@ -156,6 +156,7 @@
 
     def merged_answer(self, command: commands.MergedAnswer) -> None:
         """Writes a merged answer with its signatures."""
+        self._requests.heads.discard(command.client_id)
         self._server.respond(
             command.client_id,
             200,
--- a/tests/functional/test_users_platform.py
+++ b/tests/functional/test_users_platform.py
@@ -279,7 +279,11 @@
     tmp_path: Path,
 ) -> None:
     async with running(tmp_path, "e1", "e2") as site:
-        await site.named("e2")
+
+        async def knows_both() -> bool:
+            return len(await site.named("e1")) == 2
+
+        await wait_until(knows_both)
         site.store.down = True
         first = site.nodes["e2"]
         first.kill()
--- a/tests/standins/forwarding.py
+++ b/tests/standins/forwarding.py
@@ -170,8 +170,11 @@
     def list_range(self, kind: Range, items: dict[str, Any]) -> None:
         self.tick(events.RangeListed(kind, items, 10, "", False, 10))
 
-    def change(self, kind: Range, key: str, item: Any) -> None:
-        self.tick(events.RangeChanged(kind, (Change(key, item, 11),), 11))
+    def change(
+        self, kind: Range, key: str, item: Any, revision: int = 11
+    ) -> None:
+        change = Change(key, item, revision)
+        self.tick(events.RangeChanged(kind, (change,), revision))
 
     def fail(self, kind: Range, history_lost: bool = False) -> None:
         self.tick(events.RangeFailed(kind, history_lost, "down"))
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -142,6 +142,24 @@
     assert {e.endpoint_id for e in share.entries} == {"f1", "f2"}
 
 
+def test_a_peer_that_keeps_up_is_sent_no_list(ticks: ForwardTicks) -> None:
+    for turn in range(8):
+        for zone in "ab":
+            late = entry(f"f{turn}{zone}", "file", zone=zone)
+            ticks.change(Range.ENDPOINTS, late.endpoint_id, late, 20 + turn)
+        ticks.beat("e2", endpoints_revision=19 + turn)
+        ticks.advance(500, 100)
+    sent = [c.message for c in ticks.taken(commands.SendToNode)]
+    assert not [m for m in sent if isinstance(m, EndpointsShare)]
+
+
+def test_a_node_of_the_same_zone_helps(ticks: ForwardTicks) -> None:
+    ticks.beat("e3", zone="b")
+    ticks.beat("e2", zone="b", store_ok=False, endpoints_revision=0)
+    sent = [c.message for c in ticks.taken(commands.SendToNode)]
+    assert not [m for m in sent if isinstance(m, EndpointsShare)]
+
+
 def test_a_node_that_knows_nothing_asks_often(ticks: ForwardTicks) -> None:
     ticks.world.mirrors[Range.ENDPOINTS].synced_ns = 0
     for _ in range(8):
