--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -99,7 +99,7 @@
             endpoint = None
         if endpoint is None:
             endpoint = self._add(world, entry)
-        elif endpoint.entry != entry:
+        elif endpoint.entry.registration is not entry.registration:
             world.log(
                 "endpoint_changed",
                 endpoint=entry.endpoint_id,
