--- a/src/snipesaddle/_internal/cli/main.py
+++ b/src/snipesaddle/_internal/cli/main.py
@@ -2,7 +2,11 @@
 
 import typer
 
-from snipesaddle._internal.cli import config_commands, node_commands
+from snipesaddle._internal.cli import (
+    config_commands,
+    log_commands,
+    node_commands,
+)
 
 app = typer.Typer(
     help="Checks, publishes and asks the services of snipesaddle.",
@@ -19,6 +23,7 @@
 app.command()(node_commands.query)
 app.command()(node_commands.execute)
 app.command()(node_commands.drain)
+app.command()(log_commands.explain)
 
 
 def main() -> None:
