--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -49,6 +49,8 @@
       watch_wait_ms: how long one watch waits for a change.
       watch_gap_ms: the pause between two watches of one range, so that
         changes in quick succession come together.
+      idle_gap_ms: the same for a node that clients are not sent to, the
+        configuration excepted.
       start_retry_ms: the longest pause between calls of a node that has not
         read a range yet.
       grace_ms: how long registrations that lapsed in an outage still count
@@ -59,6 +61,7 @@
     call_timeout_ms: Positive = 1_000
     watch_wait_ms: Positive = 15_000
     watch_gap_ms: Positive = 300
+    idle_gap_ms: Positive = 1_500
     retry_min_ms: Positive = 100
     retry_max_ms: Positive = 1_000
     start_retry_ms: Positive = 200
--- a/src/snipesaddle/_internal/systems/forwarding/mirroring.py
+++ b/src/snipesaddle/_internal/systems/forwarding/mirroring.py
@@ -4,6 +4,7 @@
 page. Pages are no snapshot, but every change after that revision follows.
 """
 
+from snipesaddle._internal.systems.forwarding import fleet
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     ListRange,
@@ -84,8 +85,14 @@
         for change in event.changes:
             self._note_items(mirror, change.revision)
         self._offer(world, (change.item for change in event.changes))
-        gap_ms = world.settings.store.watch_gap_ms if event.changes else 0
-        self._schedule(world, mirror, now_ns + gap_ms * NS_PER_MS)
+        gap_ns = self._gap_ns(world, mirror) if event.changes else 0
+        self._schedule(world, mirror, now_ns + gap_ns)
+
+    def _gap_ns(self, world: ForwardWorld, mirror: Mirror) -> int:
+        settings = world.settings.store
+        needs_all = mirror.range is Range.CONFIG or fleet.is_active(world)
+        gap_ms = settings.watch_gap_ms if needs_all else settings.idle_gap_ms
+        return gap_ms * NS_PER_MS
 
     def _failed(
         self, world: ForwardWorld, event: RangeFailed, now_ns: int
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -10,6 +10,7 @@
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.commands import Refusal
 from snipesaddle._internal.tables.forwarding.endpoints import Registration
+from snipesaddle._internal.tables.forwarding.fleet import NodePhase
 from snipesaddle._internal.tables.forwarding.messages import (
     ConfigShare,
     EndpointsShare,
@@ -160,6 +161,24 @@
     assert not [m for m in sent if isinstance(m, EndpointsShare)]
 
 
+def test_a_node_without_clients_watches_at_leisure(
+    ticks: ForwardTicks,
+) -> None:
+    def pause_ms() -> float:
+        ticks.taken(commands.WatchRange)
+        started_ms = ticks.now_ms
+        ticks.change(Range.ENDPOINTS, "f2", entry("f2", "file"))
+        while not ticks.taken(commands.WatchRange):
+            ticks.advance(50, 50)
+        return ticks.now_ms - started_ms
+
+    settings = ticks.world.settings.store
+    assert pause_ms() <= settings.watch_gap_ms + 50
+    ticks.world.fleet.active = frozenset({"e2"})
+    ticks.world.me.phase = NodePhase.LEAVING
+    assert pause_ms() >= settings.idle_gap_ms
+
+
 def test_a_node_that_knows_nothing_asks_often(ticks: ForwardTicks) -> None:
     ticks.world.mirrors[Range.ENDPOINTS].synced_ns = 0
     for _ in range(8):
