--- a/src/snipesaddle/_internal/adapters/http1/client.py
+++ b/src/snipesaddle/_internal/adapters/http1/client.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-Headers = tuple[tuple[bytes, bytes], ...]
+from snipesaddle._internal.adapters.http1.fields import Headers, find_field
 
 _NO_BODY = frozenset({204, 304})
 
@@ -23,10 +23,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, its name in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return find_field(self.headers, name)
 
 
 class ResponseListener(abc.ABC):
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/http1/fields.py
@@ -0,0 +1,11 @@
+"""Header fields of HTTP/1.1 messages."""
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+def find_field(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first value of a field, its name in lower case, or None."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -10,7 +10,7 @@
 import httptools
 from absl import logging
 
-Headers = tuple[tuple[bytes, bytes], ...]
+from snipesaddle._internal.adapters.http1.fields import Headers, find_field
 
 _SWEEP_S = 0.5
 _MAX_PIPELINED = 16
@@ -31,10 +31,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, its name in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return find_field(self.headers, name)
 
 
 @dataclass(slots=True)
--- a/src/snipesaddle/_internal/daemon/forward_dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/forward_dispatcher.py
@@ -43,6 +43,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.stopped = asyncio.Event()
         front = ports.front
+        store = ports.store
         self._handlers: dict[type, Callable[[Any], None]] = {
             commands.SendAttempt: ports.endpoints.send,
             commands.OpenConnection: self._open,
@@ -54,11 +55,17 @@
             commands.SetReadiness: lambda c: front.set_readiness(c.ready),
             commands.SetClientLimits: lambda c: front.set_limits(c.limits),
             commands.CloseIdleClients: lambda _: front.close_idle(),
-            commands.ListRange: self._list,
-            commands.WatchRange: self._watch,
-            commands.WritePresence: self._write_presence,
-            commands.RenewPresence: self._renew_presence,
-            commands.RemovePresence: self._remove_presence,
+            commands.ListRange: lambda c: self._post(store.list(c)),
+            commands.WatchRange: lambda c: self._post(store.watch(c)),
+            commands.WritePresence: lambda c: self._post(
+                store.write_presence(c)
+            ),
+            commands.RenewPresence: lambda c: self._post(
+                store.renew_presence(c)
+            ),
+            commands.RemovePresence: lambda c: self._start(
+                store.remove_presence(c)
+            ),
             commands.SendToNode: self._send_to_node,
             commands.DropNode: lambda c: ports.peers.drop(c.peer_address),
             commands.StopProcess: lambda _: self.stopped.set(),
@@ -80,44 +87,18 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _open(self, command: commands.OpenConnection) -> None:
+    def _post(self, work: Coroutine[Any, Any, object]) -> None:
         async def run() -> None:
-            await self._ports.endpoints.open(command)
+            self._world.inbox.put(await work)
 
         self._start(run())
 
+    def _open(self, command: commands.OpenConnection) -> None:
+        self._start(self._ports.endpoints.open(command))
+
     def _close(self, command: commands.CloseConnection) -> None:
         self._ports.endpoints.close(command.connection_id)
 
-    def _list(self, command: commands.ListRange) -> None:
-        async def run() -> None:
-            self._world.inbox.put(await self._ports.store.list(command))
-
-        self._start(run())
-
-    def _watch(self, command: commands.WatchRange) -> None:
-        async def run() -> None:
-            self._world.inbox.put(await self._ports.store.watch(command))
-
-        self._start(run())
-
-    def _write_presence(self, command: commands.WritePresence) -> None:
-        async def run() -> None:
-            event = await self._ports.store.write_presence(command)
-            self._world.inbox.put(event)
-
-        self._start(run())
-
-    def _renew_presence(self, command: commands.RenewPresence) -> None:
-        async def run() -> None:
-            event = await self._ports.store.renew_presence(command)
-            self._world.inbox.put(event)
-
-        self._start(run())
-
-    def _remove_presence(self, command: commands.RemovePresence) -> None:
-        self._start(self._ports.store.remove_presence(command))
-
     def _send_to_node(self, command: commands.SendToNode) -> None:
         message = command.message
         sent = self._ports.peers.send(command.peer_address, message)
--- a/src/snipesaddle/_internal/ports/forwarding.py
+++ b/src/snipesaddle/_internal/ports/forwarding.py
@@ -1,7 +1,6 @@
 """The ports of the forwarding tier: endpoints, clients, the store, peers."""
 
 import abc
-from collections.abc import Awaitable
 
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.routes import (
@@ -14,7 +13,7 @@
     """Carries attempts to endpoints; events tell what became of them."""
 
     @abc.abstractmethod
-    def open(self, command: commands.OpenConnection) -> Awaitable[None]:
+    async def open(self, command: commands.OpenConnection) -> None:
         """Opens a connection; ends when it is up or has failed."""
 
     @abc.abstractmethod
--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -46,14 +46,14 @@
     if attempt is None:
         return
     connection = world.connections.get(attempt.connection_id)
-    drop(world, attempt, now_ns)
+    _drop_given_up(world, attempt, now_ns)
     if connection is not None:
         connections.forget(world, connection)
         world.emit(CloseConnection(connection.connection_id))
 
 
-def drop(world: ForwardWorld, attempt: Attempt, now_ns: int) -> None:
-    """Removes the row of an attempt that has ended."""
+def _drop_given_up(world: ForwardWorld, attempt: Attempt, now_ns: int) -> None:
+    """Removes the row of an attempt whose end was not waited for."""
     world.attempts.pop(attempt.attempt_id, None)
     world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
     endpoint = world.endpoints.get(attempt.endpoint_id)
@@ -92,7 +92,7 @@
         endpoint = world.endpoints.get(connection.endpoint_id)
         if attempt is None or attempt.abandoned or endpoint is None:
             if attempt is not None:
-                drop(world, attempt, now_ns)
+                _drop_given_up(world, attempt, now_ns)
             connections.give_back(world, connection, now_ns, 0)
             return
         found = placement.open_part(
@@ -110,7 +110,7 @@
         attempt: Attempt,
         now_ns: int,
     ) -> None:
-        drop(world, attempt, now_ns)
+        _drop_given_up(world, attempt, now_ns)
         connections.give_back(world, connection, now_ns, 0)
         world.lost.append(LostAttempt(attempt, False, "not needed here"))
 
@@ -123,7 +123,7 @@
         attempt = world.attempts.get(event.attempt_id)
         if attempt is None:
             return
-        drop_without_silence(world, attempt)
+        _drop_ended(world, attempt)
         self._judge(world, attempt, event, now_ns)
         if not attempt.abandoned:
             world.ended.append(EndedAttempt(attempt, event))
@@ -182,7 +182,7 @@
         attempt = world.attempts.get(connection.attempt_id)
         if attempt is None:
             return
-        drop_without_silence(world, attempt)
+        _drop_ended(world, attempt)
         world.counters.connections_lost += 1
         endpoint = world.endpoints.get(attempt.endpoint_id)
         if endpoint is not None:
@@ -195,7 +195,7 @@
             world.lost.append(LostAttempt(attempt, sent, event.detail))
 
 
-def drop_without_silence(world: ForwardWorld, attempt: Attempt) -> None:
+def _drop_ended(world: ForwardWorld, attempt: Attempt) -> None:
     """Removes the row of an attempt whose end says enough by itself."""
     world.attempts.pop(attempt.attempt_id, None)
     world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
--- a/src/snipesaddle/_internal/systems/forwarding/configuring.py
+++ b/src/snipesaddle/_internal/systems/forwarding/configuring.py
@@ -3,7 +3,6 @@
 from snipesaddle._internal.systems.tick import TickSystem
 from snipesaddle._internal.tables.forwarding.commands import SetClientLimits
 from snipesaddle._internal.tables.forwarding.events import ConfigShared
-from snipesaddle._internal.tables.forwarding.mirrors import Unreadable
 from snipesaddle._internal.tables.forwarding.routes import (
     ActiveConfig,
     RouteConfig,
@@ -41,8 +40,3 @@
             routes=len(config.routes),
             services=len(config.services),
         )
-
-
-def log_unreadable(world: ForwardWorld, key: str, item: Unreadable) -> None:
-    """Logs an item of the store that names nothing usable."""
-    world.log("item_unreadable", key=key, detail=item.detail)
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -1,9 +1,6 @@
 """Endpoints: turns registrations into rows, and lapsed ones out of use."""
 
 from snipesaddle._internal.systems.forwarding import connections
-from snipesaddle._internal.systems.forwarding.configuring import (
-    log_unreadable,
-)
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.endpoints import (
     Endpoint,
@@ -43,12 +40,10 @@
         self, world: ForwardWorld, items: dict[str, Item], now_ns: int
     ) -> None:
         readable = set()
-        for key, item in items.items():
+        for item in items.values():
             if isinstance(item, EndpointEntry):
                 readable.add(item.endpoint_id)
                 self._upsert(world, item, now_ns)
-            elif isinstance(item, Unreadable):
-                log_unreadable(world, key, item)
         for endpoint_id in world.endpoints.keys() - readable:
             self._lapse(world, world.endpoints[endpoint_id], now_ns)
         self._note_revision(world)
@@ -64,12 +59,11 @@
             self._upsert(world, change.item, now_ns)
             return
         endpoint = world.endpoints.get(change.key)
-        if isinstance(change.item, Unreadable):
-            log_unreadable(world, change.key, change.item)
-            if endpoint is not None:
-                self._remove(world, endpoint, "unreadable")
+        if endpoint is None:
             return
-        if endpoint is not None:
+        if isinstance(change.item, Unreadable):
+            self._remove(world, endpoint, "unreadable")
+        else:
             self._lapse(world, endpoint, now_ns)
 
     def _apply_share(
--- a/src/snipesaddle/_internal/systems/forwarding/mirroring.py
+++ b/src/snipesaddle/_internal/systems/forwarding/mirroring.py
@@ -16,9 +16,11 @@
     RangeListed,
 )
 from snipesaddle._internal.tables.forwarding.mirrors import (
+    Item,
     Mirror,
     MirrorStage,
     Range,
+    Unreadable,
 )
 from snipesaddle._internal.tables.forwarding.routes import RouteConfig
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
@@ -66,7 +68,8 @@
         mirror.revision = mirror.list_revision
         world.lists[mirror.range] = items
         world.changes[mirror.range].clear()
-        self._offer(world, items.values())
+        for key, item in items.items():
+            self._take_in(world, key, item)
         world.log(
             "range_listed",
             range=mirror.range.value,
@@ -84,7 +87,7 @@
         world.changes[mirror.range].extend(event.changes)
         for change in event.changes:
             self._note_items(mirror, change.revision)
-        self._offer(world, (change.item for change in event.changes))
+            self._take_in(world, change.key, change.item)
         gap_ns = self._gap_ns(world, mirror) if event.changes else 0
         self._schedule(world, mirror, now_ns + gap_ns)
 
@@ -135,11 +138,13 @@
     def _note_items(self, mirror: Mirror, revision: int) -> None:
         mirror.item_revision = max(mirror.item_revision, revision)
 
-    def _offer(self, world: ForwardWorld, items: object) -> None:
-        assert hasattr(items, "__iter__")
-        for item in items:
-            if isinstance(item, RouteConfig):
-                world.offered.append(item)
+    def _take_in(
+        self, world: ForwardWorld, key: str, item: Item | None
+    ) -> None:
+        if isinstance(item, RouteConfig):
+            world.offered.append(item)
+        elif isinstance(item, Unreadable):
+            world.log("item_unreadable", key=key, detail=item.detail)
 
     def _schedule(
         self, world: ForwardWorld, mirror: Mirror, due_ns: int
--- a/src/snipesaddle/platform/front.py
+++ b/src/snipesaddle/platform/front.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from snipesaddle._internal.adapters.http1.fields import find_field
 from snipesaddle._internal.adapters.http1.server import (
     HttpRequest,
     HttpServer,
@@ -144,7 +145,7 @@
         length = b"%d" % len(answer.body)
         if command.client_id in self._requests.heads:
             self._requests.heads.discard(command.client_id)
-            length = _header_of(answer.headers, b"content-length") or length
+            length = find_field(answer.headers, b"content-length") or length
         self._server.respond(
             command.client_id,
             answer.status,
@@ -228,13 +229,6 @@
     return fields, body
 
 
-def _header_of(fields: Headers, name: bytes) -> bytes | None:
-    for key, value in fields:
-        if key.lower() == name:
-            return value
-    return None
-
-
 def _host(request: HttpRequest) -> bytes:
     host = request.header(b"host") or b""
     return host.partition(b":")[0]
--- /dev/null
+++ b/tests/functional/test_decision_log.py
@@ -0,0 +1,55 @@
+"""The log on a pipe whose reader stops, and starts again."""
+
+import json
+import os
+
+import anyio
+import pytest
+
+from snipesaddle._internal.metrics.decision_log import DecisionLog
+
+LINES = 20_000
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.mark.anyio
+async def test_a_stuck_reader_costs_lines_and_no_waiting() -> None:
+    reader, writer = os.pipe()
+    log = DecisionLog("e1", writer, max_lines_per_s=10 * LINES)
+    for number in range(LINES):
+        log.write("request_ended", {"request": b"r%d" % number})
+    os.set_blocking(reader, False)
+    received = b""
+    written = LINES
+    with anyio.move_on_after(2):
+        while True:
+            try:
+                received += os.read(reader, 65_536)
+            except BlockingIOError:
+                log.write("later", {})
+                written += 1
+                await anyio.sleep(0.06)
+    os.close(reader)
+    os.close(writer)
+    lines = [json.loads(text) for text in received.splitlines()]
+    kept = [line for line in lines if line["event"] == "request_ended"]
+    dropped = sum(line.get("lines_dropped", 0) for line in lines)
+    assert kept[0]["request"] == "r0"
+    assert 0 < len(kept) < LINES
+    assert len(lines) + dropped == written
+
+
+@pytest.mark.anyio
+async def test_lines_over_the_rate_are_counted() -> None:
+    reader, writer = os.pipe()
+    log = DecisionLog("e1", writer, max_lines_per_s=10)
+    for _ in range(100):
+        log.write("tick", {})
+    os.close(writer)
+    content = os.read(reader, 65_536)
+    os.close(reader)
+    assert content.count(b"\n") <= 20
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -72,6 +72,19 @@
     assert not ticks.taken(commands.SendAttempt)
 
 
+def test_an_unreadable_configuration_is_logged_and_changes_nothing(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.change(Range.CONFIG, "config", Unreadable("version: missing"))
+    assert ticks.world.active.version == 1
+    (line,) = [
+        line
+        for line in ticks.taken(commands.LogDecision)
+        if line.event == "item_unreadable"
+    ]
+    assert line.fields["detail"] == "version: missing"
+
+
 def test_a_second_life_starts_without_connections(
     ticks: ForwardTicks,
 ) -> None:
