--- /dev/null
+++ b/tests/unit/forwarding/test_policies.py
@@ -0,0 +1,123 @@
+"""Patience, latency estimates and retry windows by themselves."""
+
+import random
+
+import pytest
+from standins.forwarding import ForwardTicks, merge_route
+
+from snipesaddle._internal.models.forwarding import RetrySettings
+from snipesaddle._internal.systems.forwarding import patience, retries
+from snipesaddle._internal.tables.forwarding.budgets import RetryWindow
+from snipesaddle._internal.tables.forwarding.latencies import RouteLatency
+from snipesaddle._internal.tables.forwarding.requests import (
+    ArrivedRequest,
+    Part,
+    Request,
+)
+
+MS = 1_000_000
+S = 1_000 * MS
+
+
+def request_of(shards: int) -> Request:
+    route = merge_route(shards)
+    arrived = ArrivedRequest(1, b"r", b"GET", b"h", b"/", (), b"", 600)
+    return Request(
+        request_id=1,
+        arrived=arrived,
+        route=route,
+        config_version=1,
+        arrived_ns=0,
+        aim_ns=patience.aim_ns(route, 0),
+        deadline_ns=600 * MS,
+        parts=[Part(name) for name in route.shards],
+        open_parts=shards,
+    )
+
+
+def test_the_aim_leaves_time_for_the_way_to_the_client() -> None:
+    request = request_of(20)
+    target_ns = request.route.target_latency_ms * MS
+    assert target_ns - request.aim_ns >= 12 * MS
+
+
+@pytest.mark.parametrize("total", [5, 20, 90])
+def test_more_missing_parts_are_waited_for_longer(total: int) -> None:
+    request = request_of(total)
+    times = [patience.settle_ns(request, m, total) for m in range(total + 1)]
+    assert times == sorted(times)
+    assert times[-1] == request.aim_ns
+
+
+def test_one_part_of_many_is_not_worth_the_risk_to_be_late() -> None:
+    request = request_of(90)
+    few = patience.settle_ns(request, 1, 20)
+    many = patience.settle_ns(request, 1, 90)
+    assert many < few <= request.aim_ns
+
+
+def test_estimates_find_the_quantiles_of_latencies() -> None:
+    rng = random.Random(1)
+    latency = RouteLatency()
+    values = [int(rng.uniform(10, 30) * MS) for _ in range(3_000)]
+    for value in values:
+        latency.record(value)
+    values.sort()
+    assert latency.median_ns == pytest.approx(values[1_500], rel=0.2)
+    high_ns = values[int(3_000 * latency.high_quantile)]
+    assert latency.high_ns == pytest.approx(high_ns, rel=0.2)
+
+
+def test_a_pause_of_one_endpoint_moves_the_estimates_little() -> None:
+    latency = RouteLatency()
+    for _ in range(200):
+        latency.record(10 * MS)
+    before_ns = latency.median_ns
+    for _ in range(3):
+        latency.record(150 * MS)
+    assert latency.median_ns < 1.2 * before_ns
+
+
+def test_a_window_holds_extras_to_ratio_and_slack() -> None:
+    window = RetryWindow(10 * S)
+    spent = 0
+    for turn in range(1_000):
+        now_ns = turn * 10 * MS
+        window.count_request(now_ns)
+        if window.room(now_ns, 0.2, 5.0) >= 1:
+            window.count_extra(now_ns)
+            spent += 1
+    assert 0.2 * 1_000 - 2 <= spent <= 0.2 * 1_000 + 5
+
+
+def test_a_window_forgets() -> None:
+    window = RetryWindow(10 * S)
+    for _ in range(50):
+        window.count_extra(1 * S)
+    assert window.room(2 * S, 0.2, 10.0) < 0
+    assert window.room(12 * S, 0.2, 10.0) == 10.0
+
+
+def test_no_span_of_a_window_exceeds_the_budget() -> None:
+    rng = random.Random(7)
+    world = ForwardTicks([], [], retries=RetrySettings(slack=5)).world
+    window = world.window("s0")
+    now_ns = 0
+    spent: list[int] = []
+    asked: list[int] = []
+    for _ in range(3_000):
+        now_ns += int(rng.expovariate(40) * S)
+        window.count_request(now_ns)
+        asked.append(now_ns)
+        if rng.random() < 0.6 and retries.may_spend(world, "s0", now_ns):
+            window.count_extra(now_ns)
+            spent.append(now_ns)
+    for start_ns in spent:
+        end_ns = start_ns + 10 * S
+        inside = sum(start_ns <= at_ns < end_ns for at_ns in spent)
+        # The requests of the span, or of one that began before it.
+        counts = [
+            sum(low <= at_ns < low + 10 * S for at_ns in asked)
+            for low in (start_ns, start_ns - 5 * S, start_ns - 10 * S)
+        ]
+        assert inside <= 0.2 * max(counts) + 5
