Wait until a restarted node answers before asking it

Beside 12 busy processes it passed twice, beside 40 it failed at the same line; with the change it passed beside 40. The 2 s without store and peers stay.

--- a/tests/functional/test_promises.py
+++ b/tests/functional/test_promises.py
@@ -435,6 +435,7 @@
         fleet.nodes["e2"].kill()
         fleet.cut_store("e2")
         fleet.start_node("e2")
+        fleet.wait_listening("e2")
         time.sleep(2)
         empty = fleet.search("e2", "lookup", "q")
         for name in fleet.nodes:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -172,6 +172,13 @@
             f"nodes {wanted} are not ready",
         )
 
+    def wait_listening(self, name: str) -> None:
+        """Waits until a node that was started answers at all."""
+        self.wait(
+            lambda: self.status(name) is not None,
+            f"node {name} does not answer",
+        )
+
     def _is_settled(self, name: str) -> bool:
         status = self.status(name)
         if status is None or status["state"] != "serving":
