Ask for the heir of a node that leaves, and do not wait for its rumour alone

That its keys had a new owner was told once, by a rumour over sockets that drop what is sent while they reconnect, so a lost rumour ended as 'unknown'. Ruled out by reading: an expired key space, a refusal that names a wrong heir, a handover to a node that leaves as well (it refuses). Change: while the owner is not serving, its heir is asked for with each try.

--- a/src/snipesaddle/_internal/systems/relays.py
+++ b/src/snipesaddle/_internal/systems/relays.py
@@ -19,7 +19,11 @@
     RelayedAnswer,
     RelayedExecution,
 )
-from snipesaddle._internal.tables.nodes import DrainPhase, Peer
+from snipesaddle._internal.tables.nodes import (
+    DrainPhase,
+    NodeState,
+    Peer,
+)
 from snipesaddle._internal.tables.timers import TimerKind
 from snipesaddle._internal.tables.world import World
 
@@ -78,9 +82,10 @@
     request = relay.request
     target = current_owner(world, relay.owner)
     peer = _find_peer(world, target)
-    if peer is None:
+    if peer is None or peer.state is not NodeState.SERVING:
+        # A leaving node may have handed its keys over since.
         _ask_for_heir(world, target, now_ns)
-    else:
+    if peer is not None:
         passed = dataclasses.replace(
             request,
             reply_to=world.me.peer_address,
--- a/tests/unit/test_executions.py
+++ b/tests/unit/test_executions.py
@@ -21,8 +21,12 @@
 from snipesaddle._internal.tables.messages import (
     Handover,
     HandoverReply,
+    Heartbeat,
+    HeirRequest,
+    NodeRecord,
     RelayedExecution,
 )
+from snipesaddle._internal.tables.nodes import NodeState
 from snipesaddle._internal.tables.queries import CallResult
 from tests.standins import layouts
 from tests.standins.layouts import Group
@@ -166,3 +170,36 @@
     run.tick(60_000)
     assert run.take(StartCall) == []
     assert outcomes(run) == [Outcome.NOT_RUN]
+
+
+def hear(
+    run: Ticks, name: str, state: NodeState, sequence: int = 1
+) -> None:
+    """Lets the node hear a peer that owns the key space NAME~1."""
+    record = NodeRecord(
+        name, f"{name}~1", "127.0.0.1:5", name, "z", state, 1, True, sequence
+    )
+    run.world.inbox.put(Heartbeat(record))
+    run.tick()
+
+
+def heirs_asked_for(run: Ticks) -> set[str]:
+    messages = [sent.message for sent in run.take(SendPeer)]
+    return {m.space for m in messages if isinstance(m, HeirRequest)}
+
+
+@pytest.mark.parametrize("state", [NodeState.LEAVING, NodeState.STOPPED])
+def test_heir_of_a_leaving_owner_is_asked_for(
+    run: Ticks, state: NodeState
+) -> None:
+    hear(run, "e8", NodeState.SERVING)
+    hear(run, "e9", NodeState.SERVING)
+    hear(run, "e9", state, sequence=2)
+    arrive(run, "t1.e9~1.0.a")
+    assert heirs_asked_for(run) == {"e9~1"}
+
+
+def test_heir_of_a_serving_owner_is_not_asked_for(run: Ticks) -> None:
+    hear(run, "e9", NodeState.SERVING)
+    arrive(run, "t1.e9~1.0.a")
+    assert heirs_asked_for(run) == set()
