Relay the parts whose best endpoint is in another zone, also where one is here

Only shards without any endpoint here were relayed. Ruled out: heartbeats (1.3 MB) and relays themselves (1.6 MB). Change: the chooser decides for each part whether it is better asked elsewhere.

--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -7,6 +7,7 @@
     placement,
     relaying,
 )
+from snipesaddle._internal.systems.forwarding.standing import EndpointChooser
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     Refusal,
@@ -33,6 +34,9 @@
 class ArrivalsSystem(TickSystem[ForwardWorld]):
     """Turns arrived requests into rows with their parts."""
 
+    def __init__(self, chooser: EndpointChooser) -> None:
+        self._chooser = chooser
+
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         for gone in world.inbox.take(ClientGone):
             self._gone(world, gone.client_id, now_ns)
@@ -72,7 +76,7 @@
         request = self._make(world, arrived, route, arrived_ns)
         world.requests[request.request_id] = request
         world.clients[arrived.client_id] = request.request_id
-        relaying.plan(world, request, now_ns)
+        relaying.plan(world, request, self._chooser, now_ns)
         placement.request_parts(world, request, now_ns)
         hedging.look_first(world, request, now_ns)
 
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -1,8 +1,8 @@
 """Relaying: lets a node in another zone gather the parts from its zone.
 
-A shard without an endpoint in this node's zone costs a call to another zone,
-and its answer comes back in full. A node over there asks all such shards and
-sends back only their greatest records and signatures, in one message.
+A shard whose best endpoint is in another zone costs a call to there, and its
+answer comes back in full. A node over there asks all such shards and sends
+back only their greatest records and signatures, in one message.
 """
 
 from snipesaddle._internal.systems.forwarding import (
@@ -11,6 +11,7 @@
     hedging,
     placement,
 )
+from snipesaddle._internal.systems.forwarding.standing import EndpointChooser
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import SendToNode
 from snipesaddle._internal.tables.forwarding.events import RelayUnsent
@@ -40,11 +41,16 @@
 _OK = 200
 
 
-def plan(world: ForwardWorld, request: Request, now_ns: int) -> None:
+def plan(
+    world: ForwardWorld,
+    request: Request,
+    chooser: EndpointChooser,
+    now_ns: int,
+) -> None:
     """Relays the parts of a new request that are better asked elsewhere."""
     if not request.route.shards or request.origin is not None:
         return
-    by_zone = _foreign_parts(world, request, now_ns)
+    by_zone = _foreign_parts(world, request, chooser, now_ns)
     if not by_zone:
         return
     nodes = _nodes_by_zone(world, now_ns)
@@ -74,17 +80,23 @@
 
 
 def _foreign_parts(
-    world: ForwardWorld, request: Request, now_ns: int
+    world: ForwardWorld,
+    request: Request,
+    chooser: EndpointChooser,
+    now_ns: int,
 ) -> dict[str, set[int]]:
-    """Returns the parts without an endpoint here, by the zones that have."""
+    """Returns the parts that are better asked elsewhere, by zone."""
     by_zone: dict[str, set[int]] = {}
     for index, part in enumerate(request.parts):
-        zones = {
-            endpoint.entry.zone
-            for endpoint in placement.candidates(world, part, now_ns)
-        }
-        if world.me.zone in zones:
+        usable = placement.candidates(world, part, now_ns)
+        if not usable:
             continue
+        best = chooser.choose(world, usable, request.route, now_ns)
+        if best.entry.zone == world.me.zone:
+            continue
+        zones = {endpoint.entry.zone for endpoint in usable}
+        if world.me.zone in zones:
+            zones = {best.entry.zone}
         for zone in zones:
             by_zone.setdefault(zone, set()).add(index)
     return by_zone
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -42,7 +42,7 @@
             FleetSystem(),
             AttemptsSystem(),
             OutcomesSystem(),
-            ArrivalsSystem(),
+            ArrivalsSystem(chooser),
             RelayingSystem(),
             HedgingSystem(chooser),
             PlacementSystem(chooser),
--- a/tests/unit/forwarding/test_relays.py
+++ b/tests/unit/forwarding/test_relays.py
@@ -74,6 +74,22 @@
     assert merged.body == b"".join(map(record_bytes, (9, 8, 3)))
 
 
+def test_asks_the_other_zone_for_shards_that_are_slow_here() -> None:
+    everywhere = [
+        entry(f"{zone}{number}", f"s{number}", zone=zone)
+        for number in range(SHARDS)
+        for zone in "ab"
+    ]
+    ticks = ForwardTicks([merge_route(SHARDS)], everywhere)
+    ticks.beat("e2", zone="b")
+    for number in range(HERE):
+        slow = ticks.world.endpoints[f"a{number}"]
+        slow.slowness = 20.0
+        slow.slowness_at_ns = ticks.now_ns
+    ask = relayed(ticks)
+    assert ask.services == ("s0", "s1", "s2", "s3")
+
+
 def test_asks_itself_when_the_node_is_not_connected(
     ticks: ForwardTicks,
 ) -> None:
