Let a node of another zone ask the second endpoints of several late parts

Ruled out: fewer second calls (a tenth of the parts meets a pause), or second endpoints in the zone (a shard has one leaf in each). Change: when two or more parts of a request are late at once, a node of the other zone asks one endpoint for each. Its merged records replace what the first endpoints answered meanwhile, so that none counts twice. Answered requests let relayed work run out, so that connections survive. Asking and gathering are two systems now; looks.py holds when a request is looked at.

--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -2,7 +2,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     completion,
-    hedging,
+    looks,
     patience,
     placement,
     relaying,
@@ -78,7 +78,7 @@
         world.clients[arrived.client_id] = request.request_id
         relaying.plan(world, request, self._chooser, now_ns)
         placement.request_parts(world, request, now_ns)
-        hedging.look_first(world, request, now_ns)
+        looks.look_first(world, request, now_ns)
 
     def _make(
         self,
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -6,7 +6,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     attempts,
-    hedging,
+    looks,
     patience,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -165,11 +165,11 @@
         finish(world, request, now_ns)
 
     def _wait(self, world: ForwardWorld, request: Request, now_ns: int) -> None:
-        grace_ns = hedging.RELAY_GRACE_NS
+        grace_ns = looks.RELAY_GRACE_NS
         if request.relays and now_ns >= request.aim_ns + grace_ns:
             world.overdue.append(request.request_id)
         if now_ns < request.settle_ns < request.look_ns:
-            hedging.look_at(world, request, request.settle_ns)
+            looks.look_at(world, request, request.settle_ns)
 
     def _composer(self, request: Request) -> Composer:
         if request.origin is not None:
@@ -179,7 +179,7 @@
 
 def finish(world: ForwardWorld, request: Request, now_ns: int) -> None:
     """Ends an answered request; its attempts in flight run out."""
-    remove(world, request)
+    remove(world, request, at_once=False)
     late = now_ns >= request.deadline_ns or not request.route.idempotent
     for part in request.parts:
         for attempt_id in part.attempts:
@@ -191,21 +191,24 @@
 
 def cancel(world: ForwardWorld, request: Request, now_ns: int) -> None:
     """Ends a request that nobody waits for, with all that runs for it."""
-    remove(world, request)
+    remove(world, request, at_once=True)
     for part in request.parts:
         for attempt_id in part.attempts:
             attempts.cancel(world, attempt_id, now_ns)
 
 
-def remove(world: ForwardWorld, request: Request) -> None:
-    """Removes the row of a request."""
+def remove(world: ForwardWorld, request: Request, *, at_once: bool) -> None:
+    """Removes the row of a request.
+
+    With `at_once`, what other nodes run for it ends now, too.
+    """
     world.requests.pop(request.request_id, None)
     world.clients.pop(request.arrived.client_id, None)
     if request.origin is not None:
         world.origins.pop(request.origin, None)
     for relay_id in request.relays:
         relay = world.relays.pop(relay_id)
-        cancelled = RelayCancel(relay_id, world.me.peer_address)
+        cancelled = RelayCancel(relay_id, world.me.peer_address, at_once)
         world.emit(SendToNode(relay.peer_address, cancelled))
     request.relays.clear()
     world.timers.cancel(TimerKind.REQUEST, request.request_id)
--- a/src/snipesaddle/_internal/systems/forwarding/directory.py
+++ b/src/snipesaddle/_internal/systems/forwarding/directory.py
@@ -51,8 +51,8 @@
         if not asked:
             return
         nodes = [
-            (record.zone, record.front_address)
-            for record in fleet.live_nodes(world, now_ns)
+            (node.record.zone, node.record.front_address)
+            for node in fleet.live_nodes(world, now_ns)
         ]
         serving = world.me.phase is NodePhase.SERVING
         if serving and (fleet.is_active(world) or not nodes):
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -64,10 +64,10 @@
     return node.active_since_ns == 0 or now_ns - since_ns <= suspect_ns
 
 
-def live_nodes(world: ForwardWorld, now_ns: int) -> list[NodeRecord]:
-    """Returns the records of the other active nodes that are up."""
+def live_nodes(world: ForwardWorld, now_ns: int) -> list[FleetNode]:
+    """Returns the other active nodes that are up."""
     return [
-        node.record
+        node
         for node_id, node in world.fleet.nodes.items()
         if node_id in world.fleet.active
         and node.record.phase is NodePhase.SERVING
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/gathering.py
@@ -0,0 +1,91 @@
+"""Gathering: asks the shards that another node relayed to this one."""
+
+from snipesaddle._internal.systems.forwarding import (
+    completion,
+    looks,
+    placement,
+)
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.messages import (
+    RelayAsk,
+    RelayCancel,
+)
+from snipesaddle._internal.tables.forwarding.requests import (
+    ArrivedRequest,
+    Part,
+    RelayOrigin,
+    Request,
+)
+from snipesaddle._internal.tables.forwarding.routes import Route
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+
+class GatheringSystem(TickSystem[ForwardWorld]):
+    """Takes on what other nodes relay, and ends what they cancel."""
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        for ask in world.inbox.take(RelayAsk):
+            self._asked(world, ask, now_ns)
+        for cancelled in world.inbox.take(RelayCancel):
+            self._cancelled(world, cancelled, now_ns)
+
+    def _asked(self, world: ForwardWorld, ask: RelayAsk, now_ns: int) -> None:
+        origin = RelayOrigin(ask.reply_address, ask.relay_id)
+        request = _request_of(world, ask, origin, now_ns)
+        world.requests[request.request_id] = request
+        world.origins[origin] = request.request_id
+        counted = not ask.is_hedge
+        placement.request_parts(world, request, now_ns, counted=counted)
+        looks.look_first(world, request, now_ns)
+
+    def _cancelled(
+        self, world: ForwardWorld, cancelled: RelayCancel, now_ns: int
+    ) -> None:
+        origin = RelayOrigin(cancelled.reply_address, cancelled.relay_id)
+        request = world.requests.get(world.origins.get(origin, 0))
+        if request is None:
+            return
+        if cancelled.at_once:
+            completion.cancel(world, request, now_ns)
+        else:
+            completion.finish(world, request, now_ns)
+
+
+def _request_of(
+    world: ForwardWorld, ask: RelayAsk, origin: RelayOrigin, now_ns: int
+) -> Request:
+    route = Route(
+        name=ask.route_name,
+        host=ask.host,
+        prefix=b"",
+        idempotent=True,
+        timeout_ms=ask.time_left_ms,
+        target_latency_ms=ask.target_latency_ms,
+        max_attempts=1 if ask.is_hedge else ask.max_attempts,
+        priority=ask.priority,
+        shards=ask.services,
+        top_k=ask.top_k,
+    )
+    arrived = ArrivedRequest(
+        client_id=0,
+        request_key=ask.request_key,
+        method=ask.method,
+        host=ask.host,
+        target=ask.target,
+        headers=ask.headers,
+        body=ask.body,
+        time_limit_ms=ask.time_left_ms,
+    )
+    return Request(
+        request_id=world.next_id(),
+        arrived=arrived,
+        route=route,
+        config_version=world.active.version,
+        arrived_ns=now_ns,
+        aim_ns=now_ns + max(1, ask.aim_left_ms) * NS_PER_MS,
+        deadline_ns=now_ns + max(1, ask.time_left_ms) * NS_PER_MS,
+        parts=[Part(service) for service in ask.services],
+        open_parts=len(ask.services),
+        total_parts=ask.total_parts,
+        origin=origin,
+    )
--- a/src/snipesaddle/_internal/systems/forwarding/hedging.py
+++ b/src/snipesaddle/_internal/systems/forwarding/hedging.py
@@ -3,27 +3,27 @@
 The load pattern answered: endpoints pause for a tenth of a second now and
 then, so that most requests over many shards meet one that pauses. A second
 try is spent on the parts still open at a high quantile of the route's
-latency, within the retry budget of the fleet.
+latency, within the retry budget of the fleet. Where several parts of a
+request are late at once, a node in another zone gathers them: that is one
+message each way in place of a call each.
 """
 
 from snipesaddle._internal.systems.forwarding import (
     connections,
+    looks,
     placement,
+    relaying,
     retries,
 )
 from snipesaddle._internal.systems.forwarding.standing import EndpointChooser
-from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.systems.tick import TickSystem
 from snipesaddle._internal.tables.forwarding.requests import (
-    Part,
     PartState,
     Request,
 )
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 from snipesaddle._internal.tables.timers import TimerKind
 
-# How long after the aim a relay is waited for.
-RELAY_GRACE_NS = 10 * NS_PER_MS
-
 
 class HedgingSystem(TickSystem[ForwardWorld]):
     """Looks at the requests whose time has come, and sets the next time."""
@@ -39,25 +39,36 @@
                 self._look(world, request, now_ns)
 
     def _look(self, world: ForwardWorld, request: Request, now_ns: int) -> None:
+        due = self._due_parts(request, now_ns)
+        relayed = relaying.hedge(world, request, due, now_ns)
+        for index in due:
+            if index not in relayed:
+                self._hedge(world, request, index, now_ns)
+        world.touched[request.request_id] = None
+        next_ns = looks.next_look_ns(request, now_ns)
+        looks.look_at(world, request, next_ns)
+
+    def _due_parts(self, request: Request, now_ns: int) -> list[int]:
+        """Returns the parts whose time for a second endpoint has come."""
+        due = []
         for index, part in enumerate(request.parts):
-            if part.state is not PartState.RUNNING or not part.hedge_ns:
+            if part.state is not PartState.RUNNING:
                 continue
-            if part.hedge_ns <= now_ns:
-                self._hedge(world, request, index, part, now_ns)
-        world.touched[request.request_id] = None
-        look_at(world, request, _next_look_ns(request, now_ns))
+            if not 0 < part.hedge_ns <= now_ns:
+                continue
+            part.hedge_ns = 0
+            if part.runs < request.route.max_attempts and part.attempts:
+                due.append(index)
+        return due
 
     def _hedge(
         self,
         world: ForwardWorld,
         request: Request,
         index: int,
-        part: Part,
         now_ns: int,
     ) -> None:
-        part.hedge_ns = 0
-        if part.runs >= request.route.max_attempts or not part.attempts:
-            return
+        part = request.parts[index]
         able = [
             endpoint
             for endpoint in placement.candidates(world, part, now_ns)
@@ -72,34 +83,3 @@
         placement.start_attempt(world, request, index, endpoint, now_ns)
         part.hedged = True
         world.counters.hedges += 1
-
-
-def look_first(world: ForwardWorld, request: Request, now_ns: int) -> None:
-    """Sets when a new request gets its first look."""
-    due_ns = _next_look_ns(request, now_ns)
-    if request.route.idempotent:
-        delay_ns = placement.hedge_delay_ns(world, request)
-        due_ns = min(due_ns, now_ns + delay_ns)
-    look_at(world, request, due_ns)
-
-
-def look_at(world: ForwardWorld, request: Request, due_ns: int) -> None:
-    """Sets when a request gets its next look."""
-    request.look_ns = due_ns
-    world.timers.set(TimerKind.REQUEST, request.request_id, due_ns)
-
-
-def _next_look_ns(request: Request, now_ns: int) -> int:
-    due_ns = request.deadline_ns
-    for look_ns in (
-        request.settle_ns,
-        request.aim_ns,
-        request.aim_ns + RELAY_GRACE_NS,
-    ):
-        if now_ns < look_ns < due_ns:
-            due_ns = look_ns
-    for part in request.parts:
-        hedge_ns = part.hedge_ns
-        if hedge_ns and hedge_ns < due_ns and part.state is PartState.RUNNING:
-            due_ns = hedge_ns
-    return max(due_ns, now_ns + 1)
--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -128,7 +128,7 @@
     ) -> None:
         part = request.parts[attempt.part_index]
         part.cause = cause
-        if part.attempts:
+        if part.attempts or part.hedge_relay:
             return
         if not _may_retry(request, part, now_ns):
             placement.mark_missing(world, request, part, cause)
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -127,11 +127,21 @@
     )
 
 
-def request_parts(world: ForwardWorld, request: Request, now_ns: int) -> None:
-    """Lets the parts of a new request that this node asks for be placed."""
+def request_parts(
+    world: ForwardWorld,
+    request: Request,
+    now_ns: int,
+    *,
+    counted: bool = True,
+) -> None:
+    """Lets the parts of a new request that this node asks for be placed.
+
+    With `counted`, they are first arrivals in the retry budget.
+    """
     for index, part in enumerate(request.parts):
         if part.state is PartState.PENDING:
-            world.window(part.service).count_request(now_ns)
+            if counted:
+                world.window(part.service).count_request(now_ns)
             world.pending.append((request.request_id, index))
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -5,39 +5,43 @@
 back only their greatest records and signatures, in one message.
 """
 
+from collections.abc import Iterator
+
 from snipesaddle._internal.systems.forwarding import (
-    completion,
+    attempts,
     fleet,
-    hedging,
+    looks,
     placement,
+    retries,
 )
 from snipesaddle._internal.systems.forwarding.standing import EndpointChooser
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import SendToNode
 from snipesaddle._internal.tables.forwarding.events import RelayUnsent
-from snipesaddle._internal.tables.forwarding.fleet import FleetNode, NodePhase
+from snipesaddle._internal.tables.forwarding.fleet import FleetNode
 from snipesaddle._internal.tables.forwarding.messages import (
     RelayAsk,
     RelayCancel,
     RelayReply,
 )
 from snipesaddle._internal.tables.forwarding.requests import (
-    ArrivedRequest,
     EndpointAnswer,
     MissingCause,
     Part,
     PartState,
     Relay,
-    RelayOrigin,
     Request,
 )
-from snipesaddle._internal.tables.forwarding.routes import Route
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 _MIN_PARTS = 3
+_MIN_HEDGES = 2
+# With less time to the aim, calls of this node's own are the faster way.
+_MIN_GATHER_NS = 20 * NS_PER_MS
 # What the reply needs for its way back.
 _RETURN_MS = 7
 _DISTRUST_NS = 2_000 * NS_PER_MS
+_RECONNECT_NS = 200 * NS_PER_MS
 _OK = 200
 
 
@@ -51,20 +55,42 @@
     if not request.route.shards or request.origin is not None:
         return
     by_zone = _foreign_parts(world, request, chooser, now_ns)
-    if not by_zone:
-        return
-    nodes = _nodes_by_zone(world, now_ns)
-    while by_zone:
-        zone = max(by_zone, key=lambda name: len(by_zone[name]))
-        indexes = by_zone.pop(zone)
-        if len(indexes) < _MIN_PARTS:
-            return
-        if zone not in nodes:
-            continue
-        node = world.rng.choice(nodes[zone])
-        _ask(world, request, node, tuple(sorted(indexes)), now_ns)
-        for other in by_zone.values():
-            other -= indexes
+    groups = _groups(world, by_zone, _MIN_PARTS, now_ns)
+    for node, indexes in groups:
+        _ask(world, request, node, indexes, now_ns)
+        for index in indexes:
+            request.parts[index].state = PartState.RELAYED
+
+
+def hedge(
+    world: ForwardWorld, request: Request, due: list[int], now_ns: int
+) -> set[int]:
+    """Lets nodes in other zones ask a second endpoint of the parts due.
+
+    Returns the parts that need no second endpoint from this node.
+    """
+    if request.origin is not None or len(due) < _MIN_HEDGES:
+        return set()
+    if now_ns + _MIN_GATHER_NS > request.aim_ns:
+        return set()
+    by_zone: dict[str, set[int]] = {}
+    for index in due:
+        part = request.parts[index]
+        for endpoint in placement.candidates(world, part, now_ns):
+            if endpoint.entry.zone != world.me.zone:
+                by_zone.setdefault(endpoint.entry.zone, set()).add(index)
+    handled: set[int] = set()
+    for node, indexes in _groups(world, by_zone, _MIN_HEDGES, now_ns):
+        handled.update(indexes)
+        allowed = tuple(
+            index
+            for index in indexes
+            if retries.may_spend(world, request.parts[index].service, now_ns)
+        )
+        world.counters.budget_denials += len(indexes) - len(allowed)
+        if allowed:
+            _ask_again(world, request, node, allowed, now_ns)
+    return handled
 
 
 def fall_back(world: ForwardWorld, request: Request, now_ns: int) -> None:
@@ -102,39 +128,78 @@
     return by_zone
 
 
+def _groups(
+    world: ForwardWorld,
+    by_zone: dict[str, set[int]],
+    min_parts: int,
+    now_ns: int,
+) -> Iterator[tuple[FleetNode, tuple[int, ...]]]:
+    """Yields nodes with the parts to relay to them, the largest group first.
+
+    Groups of fewer than `min_parts` parts are not worth a message.
+    """
+    nodes: dict[str, list[FleetNode]] = {}
+    if by_zone:
+        nodes = _nodes_by_zone(world, now_ns)
+    while by_zone:
+        zone = max(by_zone, key=lambda name: len(by_zone[name]))
+        indexes = by_zone.pop(zone)
+        if len(indexes) < min_parts:
+            return
+        if zone not in nodes:
+            continue
+        yield world.rng.choice(nodes[zone]), tuple(sorted(indexes))
+        for other in by_zone.values():
+            other -= indexes
+
+
 def _nodes_by_zone(
     world: ForwardWorld, now_ns: int
 ) -> dict[str, list[FleetNode]]:
     by_zone: dict[str, list[FleetNode]] = {}
-    for node_id, node in world.fleet.nodes.items():
-        if (
-            node_id in world.fleet.active
-            and node.record.phase is NodePhase.SERVING
-            and now_ns >= node.no_relays_until_ns
-            and fleet.is_live(world, node, now_ns)
-        ):
+    for node in fleet.live_nodes(world, now_ns):
+        if now_ns >= node.no_relays_until_ns:
             by_zone.setdefault(node.record.zone, []).append(node)
     return by_zone
 
 
-def _ask(
+def _ask_again(
     world: ForwardWorld,
     request: Request,
     node: FleetNode,
     indexes: tuple[int, ...],
     now_ns: int,
 ) -> None:
+    relay = _ask(world, request, node, indexes, now_ns, is_hedge=True)
+    for index in indexes:
+        part = request.parts[index]
+        part.hedge_relay = relay.relay_id
+        part.hedged = True
+        part.runs += 1
+        part.arrivals += 1
+        world.window(part.service).count_extra(now_ns)
+        world.counters.hedges += 1
+
+
+def _ask(
+    world: ForwardWorld,
+    request: Request,
+    node: FleetNode,
+    indexes: tuple[int, ...],
+    now_ns: int,
+    *,
+    is_hedge: bool = False,
+) -> Relay:
     relay = Relay(
         relay_id=world.next_id(),
         request_id=request.request_id,
         node_id=node.record.node_id,
         peer_address=node.record.peer_address,
         part_indexes=indexes,
+        is_hedge=is_hedge,
     )
     world.relays[relay.relay_id] = relay
     request.relays.append(relay.relay_id)
-    for index in indexes:
-        request.parts[index].state = PartState.RELAYED
     world.counters.relays += 1
     arrived = request.arrived
     route = request.route
@@ -156,8 +221,10 @@
         priority=route.priority,
         top_k=route.top_k,
         total_parts=len(request.parts),
+        is_hedge=is_hedge,
     )
     world.emit(SendToNode(relay.peer_address, ask))
+    return relay
 
 
 def _take_back(
@@ -179,6 +246,9 @@
     )
     for index in relay.part_indexes:
         part = request.parts[index]
+        if relay.is_hedge:
+            _end_hedge(world, request, part)
+            continue
         if may_have_run:
             _count_run(world, request, part)
         if part.state is PartState.RELAYED:
@@ -186,6 +256,18 @@
             world.pending.append((request.request_id, index))
 
 
+def _end_hedge(world: ForwardWorld, request: Request, part: Part) -> None:
+    """Notes that the second endpoint of a part gave no answer."""
+    part.hedge_relay = 0
+    if part.state is not PartState.RUNNING or part.attempts:
+        return
+    if part.runs >= request.route.max_attempts:
+        placement.mark_missing(world, request, part, MissingCause.RELAY)
+        return
+    part.state = PartState.PENDING
+    world.pending.append((request.request_id, request.parts.index(part)))
+
+
 def _count_run(world: ForwardWorld, request: Request, part: Part) -> None:
     # The other node may have sent the part to one endpoint or to several:
     # another try is safe only where all there are may be tried.
@@ -199,7 +281,7 @@
 
 
 class RelayingSystem(TickSystem[ForwardWorld]):
-    """Gathers parts for other nodes, and takes in what they gathered."""
+    """Takes in what other nodes gathered, or that they did not."""
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         overdue, world.overdue = world.overdue, []
@@ -208,26 +290,40 @@
             if late is not None:
                 fall_back(world, late, now_ns)
         for unsent in world.inbox.take(RelayUnsent):
-            self._unsent(world, unsent.relay_id)
+            self._unsent(world, unsent.relay_id, now_ns)
         for reply in world.inbox.take(RelayReply):
             self._replied(world, reply, now_ns)
-        for ask in world.inbox.take(RelayAsk):
-            self._asked(world, ask, now_ns)
-        for cancelled in world.inbox.take(RelayCancel):
-            origin = RelayOrigin(cancelled.reply_address, cancelled.relay_id)
-            relayed = world.requests.get(world.origins.get(origin, 0))
-            if relayed is not None:
-                completion.cancel(world, relayed, now_ns)
-
-    def _unsent(self, world: ForwardWorld, relay_id: int) -> None:
+
+    def _unsent(self, world: ForwardWorld, relay_id: int, now_ns: int) -> None:
         relay = world.relays.get(relay_id)
         request = world.requests.get(relay.request_id) if relay else None
         if relay is None or request is None:
             return
+        node = world.fleet.nodes.get(relay.node_id)
+        if node is not None:
+            node.no_relays_until_ns = now_ns + _RECONNECT_NS
+        if relay.is_hedge:
+            self._hedge_directly(world, request, relay, now_ns)
+        else:
+            for index in relay.part_indexes:
+                part = request.parts[index]
+                world.window(part.service).count_request(request.arrived_ns)
+        _take_back(world, request, relay, "not connected", may_have_run=False)
+
+    def _hedge_directly(
+        self,
+        world: ForwardWorld,
+        request: Request,
+        relay: Relay,
+        now_ns: int,
+    ) -> None:
+        """Lets this node itself ask the second endpoints, in its next look."""
         for index in relay.part_indexes:
             part = request.parts[index]
-            world.window(part.service).count_request(request.arrived_ns)
-        _take_back(world, request, relay, "not connected", may_have_run=False)
+            part.runs -= 1
+            part.arrivals -= 1
+            part.hedge_ns = now_ns
+        looks.look_at(world, request, now_ns)
 
     def _replied(
         self, world: ForwardWorld, reply: RelayReply, now_ns: int
@@ -243,15 +339,15 @@
             relay.part_indexes, reply.signatures, strict=True
         ):
             part = request.parts[index]
-            if not signature:
+            if signature:
+                answer = EndpointAnswer(_OK, b"OK", (), body, signature)
+                _settle(world, request, part, answer, now_ns)
+                # The records of all parts came merged; the first has them.
+                body = b""
+            elif relay.is_hedge:
+                _end_hedge(world, request, part)
+            else:
                 self._missing(world, request, index, now_ns)
-                continue
-            part.state = PartState.ANSWERED
-            part.answer = EndpointAnswer(_OK, b"OK", (), body, signature)
-            request.open_parts -= 1
-            request.answered_parts += 1
-            # The records of all parts came merged; the first part has them.
-            body = b""
 
     def _missing(
         self, world: ForwardWorld, request: Request, index: int, now_ns: int
@@ -266,50 +362,28 @@
         part.state = PartState.PENDING
         world.pending.append((request.request_id, index))
 
-    def _asked(self, world: ForwardWorld, ask: RelayAsk, now_ns: int) -> None:
-        origin = RelayOrigin(ask.reply_address, ask.relay_id)
-        request = _request_of(world, ask, origin, now_ns)
-        world.requests[request.request_id] = request
-        world.origins[origin] = request.request_id
-        placement.request_parts(world, request, now_ns)
-        hedging.look_first(world, request, now_ns)
-
-
-def _request_of(
-    world: ForwardWorld, ask: RelayAsk, origin: RelayOrigin, now_ns: int
-) -> Request:
-    route = Route(
-        name=ask.route_name,
-        host=ask.host,
-        prefix=b"",
-        idempotent=True,
-        timeout_ms=ask.time_left_ms,
-        target_latency_ms=ask.target_latency_ms,
-        max_attempts=ask.max_attempts,
-        priority=ask.priority,
-        shards=ask.services,
-        top_k=ask.top_k,
-    )
-    arrived = ArrivedRequest(
-        client_id=0,
-        request_key=ask.request_key,
-        method=ask.method,
-        host=ask.host,
-        target=ask.target,
-        headers=ask.headers,
-        body=ask.body,
-        time_limit_ms=ask.time_left_ms,
-    )
-    return Request(
-        request_id=world.next_id(),
-        arrived=arrived,
-        route=route,
-        config_version=world.active.version,
-        arrived_ns=now_ns,
-        aim_ns=now_ns + max(1, ask.aim_left_ms) * NS_PER_MS,
-        deadline_ns=now_ns + max(1, ask.time_left_ms) * NS_PER_MS,
-        parts=[Part(service) for service in ask.services],
-        open_parts=len(ask.services),
-        total_parts=ask.total_parts,
-        origin=origin,
-    )
+
+def _settle(
+    world: ForwardWorld,
+    request: Request,
+    part: Part,
+    answer: EndpointAnswer,
+    now_ns: int,
+) -> None:
+    """Gives a part the answer of a relay.
+
+    It replaces an answer that this node got itself: the records of all parts
+    of a relay are merged and cannot be told apart, so that all of them count
+    or none.
+    """
+    if part.state is PartState.MISSING:
+        request.answered_parts += 1
+    elif part.state is not PartState.ANSWERED:
+        request.open_parts -= 1
+        request.answered_parts += 1
+    part.state = PartState.ANSWERED
+    part.answer = answer
+    part.hedge_relay = 0
+    for attempt_id in part.attempts:
+        attempts.abandon(world, attempt_id, now_ns)
+    part.attempts.clear()
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -11,6 +11,7 @@
 from snipesaddle._internal.systems.forwarding.directory import DirectorySystem
 from snipesaddle._internal.systems.forwarding.endpoints import EndpointsSystem
 from snipesaddle._internal.systems.forwarding.fleet import FleetSystem
+from snipesaddle._internal.systems.forwarding.gathering import GatheringSystem
 from snipesaddle._internal.systems.forwarding.hedging import HedgingSystem
 from snipesaddle._internal.systems.forwarding.lifecycle import LifecycleSystem
 from snipesaddle._internal.systems.forwarding.mirroring import MirroringSystem
@@ -43,6 +44,7 @@
             AttemptsSystem(),
             OutcomesSystem(),
             ArrivalsSystem(chooser),
+            GatheringSystem(),
             RelayingSystem(),
             HedgingSystem(chooser),
             PlacementSystem(chooser),
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -43,6 +43,8 @@
       total_parts: the parts of the whole request.
       aim_left_ms: when the parts that are in by then are to be sent back.
       time_left_ms: when the client's time is up.
+      is_hedge: the asking node has asked an endpoint of each shard already,
+        and counted these arrivals in its own part of the retry budget.
     """
 
     relay_id: int
@@ -62,6 +64,7 @@
     priority: int
     top_k: int
     total_parts: int
+    is_hedge: bool = False
 
 
 class RelayReply(msgspec.Struct, frozen=True, array_like=True):
@@ -79,10 +82,15 @@
 
 
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True):
-    """Tells a node that nobody waits for a relay any more."""
+    """Tells a node that nobody waits for a relay any more.
+
+    Attributes:
+      at_once: the client has left, so that all work for it is to end.
+    """
 
     relay_id: int
     reply_address: str
+    at_once: bool = True
 
 
 FleetMessage = (
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -86,6 +86,7 @@
       arrivals: how often it was sent to an endpoint at all.
       failure: the last failure that an endpoint answered with.
       hedge_ns: when a second endpoint is tried; 0 for never.
+      hedge_relay: the relay that asks a second endpoint; 0 for none.
     """
 
     service: str
@@ -98,6 +99,7 @@
     failure: EndpointAnswer | None = None
     cause: MissingCause = MissingCause.NONE
     hedge_ns: int = 0
+    hedge_relay: int = 0
     hedged: bool = False
 
 
@@ -115,13 +117,19 @@
 
 @dataclass(slots=True)
 class Relay:
-    """Some parts of a request that another node gathers for this one."""
+    """Some parts of a request that another node gathers for this one.
+
+    Attributes:
+      is_hedge: an endpoint of each part was asked before, and may still
+        answer.
+    """
 
     relay_id: int
     request_id: int
     node_id: str
     peer_address: str
     part_indexes: tuple[int, ...]
+    is_hedge: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/unit/forwarding/test_relays.py
+++ b/tests/unit/forwarding/test_relays.py
@@ -1,5 +1,6 @@
 """Parts that a node in another zone gathers."""
 
+import msgspec
 import pytest
 from standins.forwarding import (
     ForwardTicks,
@@ -8,6 +9,7 @@
     record_bytes,
 )
 
+from snipesaddle._internal.models.forwarding import RetrySettings
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
 from snipesaddle._internal.tables.forwarding.messages import (
@@ -15,6 +17,10 @@
     RelayCancel,
     RelayReply,
 )
+from snipesaddle._internal.tables.forwarding.requests import (
+    Attempt,
+    EndpointAnswer,
+)
 
 SHARDS = 8
 HERE = 4
@@ -179,3 +185,126 @@
     ticks.tick(RelayCancel(5, "e9:2"))
     assert len(ticks.taken(commands.CloseConnection)) == 2
     assert not ticks.world.requests
+
+
+LATE = (0, 1, 2)
+
+
+def hedged(max_attempts: int = 2) -> tuple[ForwardTicks, RelayAsk]:
+    """Lets three of eight parts be late, and returns what is relayed."""
+    everywhere = [
+        entry(f"{zone}{number}", f"s{number}", zone=zone)
+        for number in range(SHARDS)
+        for zone in "ab"
+    ]
+    route = merge_route(SHARDS, max_attempts=max_attempts)
+    ticks = ForwardTicks([route], everywhere, retries=RetrySettings(slack=40))
+    ticks.beat("e2", zone="b")
+    ticks.ask(b"/sweep/x")
+    for number, attempt in enumerate(ticks.taken(commands.SendAttempt)):
+        if number not in LATE:
+            ticks.answer(attempt, record_bytes(1))
+    ticks.advance(45)
+    (ask,) = sent(ticks, RelayAsk)
+    assert isinstance(ask, RelayAsk)
+    return ticks, ask
+
+
+def own_attempts(ticks: ForwardTicks) -> list[Attempt]:
+    return sorted(
+        ticks.world.attempts.values(), key=lambda attempt: attempt.part_index
+    )
+
+
+def answer_late(ticks: ForwardTicks, attempt: Attempt, body: bytes) -> None:
+    answer = EndpointAnswer(200, b"", (), body, b"own")
+    ticks.tick(
+        events.AttemptAnswered(
+            attempt.connection_id, attempt.attempt_id, answer, True, 0
+        )
+    )
+
+
+def test_hedges_several_late_parts_by_one_relay() -> None:
+    ticks, ask = hedged()
+    assert ask.is_hedge
+    assert ask.services == ("s0", "s1", "s2")
+    assert not ticks.taken(commands.SendAttempt)
+    window = ticks.world.window("s0")
+    assert window.extra_sum == 1
+    ticks.tick(RelayReply(ask.relay_id, record_bytes(9), (b"x", b"y", b"z")))
+    (merged,) = ticks.taken(commands.MergedAnswer)
+    assert merged.missing == 0
+    assert merged.body[:16] == record_bytes(9)
+    assert not sent(ticks, RelayCancel)
+
+
+def test_counts_records_once_where_both_endpoints_answered() -> None:
+    ticks, ask = hedged()
+    first, _, _ = own_attempts(ticks)
+    answer_late(ticks, first, record_bytes(9))
+    ticks.tick(RelayReply(ask.relay_id, record_bytes(9), (b"x", b"y", b"z")))
+    (merged,) = ticks.taken(commands.MergedAnswer)
+    assert merged.body == record_bytes(9) + record_bytes(1) * 2
+    assert b"own" not in merged.signatures
+
+
+def test_waits_for_the_first_endpoints_when_the_hedges_fail() -> None:
+    ticks, ask = hedged()
+    ticks.tick(RelayReply(ask.relay_id, b"", (b"", b"", b"")))
+    assert not ticks.taken(commands.MergedAnswer)
+    for attempt in own_attempts(ticks):
+        answer_late(ticks, attempt, record_bytes(2))
+    (merged,) = ticks.taken(commands.MergedAnswer)
+    assert merged.missing == 0
+
+
+def test_waits_for_the_hedges_when_the_first_endpoints_fail() -> None:
+    ticks, ask = hedged()
+    for attempt in own_attempts(ticks):
+        connection = attempt.connection_id
+        ticks.tick(events.ConnectionEnded(connection, True, "reset"))
+    assert not ticks.taken(commands.SendAttempt)
+    ticks.tick(RelayReply(ask.relay_id, record_bytes(9), (b"x", b"y", b"")))
+    (merged,) = ticks.taken(commands.MergedAnswer)
+    assert merged.missing == 1
+
+
+def test_hedges_itself_when_the_node_is_not_connected() -> None:
+    ticks, ask = hedged()
+    ticks.tick(events.RelayUnsent(ask.relay_id))
+    ticks.advance(1, step_ms=1)
+    ticks.open_all()
+    direct = ticks.taken(commands.SendAttempt)
+    assert {attempt.endpoint_id for attempt in direct} == {"b0", "b1", "b2"}
+
+
+def test_lets_the_gathering_run_out_when_the_answer_left() -> None:
+    ticks, ask = hedged()
+    for attempt in own_attempts(ticks):
+        answer_late(ticks, attempt, record_bytes(2))
+    assert ticks.taken(commands.MergedAnswer)
+    cancelled = RelayCancel(ask.relay_id, "127.0.0.1:1", at_once=False)
+    assert sent(ticks, RelayCancel) == [cancelled]
+
+
+def test_asks_one_endpoint_each_for_the_hedges_of_another_node(
+    ticks: ForwardTicks,
+) -> None:
+    ask = msgspec.structs.replace(ask_for(("s0", "s1")), is_hedge=True)
+    ticks.tick(ask)
+    ticks.open_all()
+    first, second = ticks.taken(commands.SendAttempt)
+    assert ticks.world.window("s0").request_sum == 0
+    ticks.lose(first)
+    ticks.answer(second, record_bytes(7))
+    (reply,) = sent(ticks, RelayReply)
+    assert reply == RelayReply(5, record_bytes(7), (b"", b"sig-s1"))
+
+
+def test_keeps_connections_when_the_answer_left(ticks: ForwardTicks) -> None:
+    ticks.tick(ask_for(("s0", "s1")))
+    ticks.open_all()
+    ticks.tick(RelayCancel(5, "e9:2", at_once=False))
+    assert not ticks.taken(commands.CloseConnection)
+    assert not ticks.world.requests
--- a/tests/unit/test_executions.py
+++ b/tests/unit/test_executions.py
@@ -172,9 +172,7 @@
     assert outcomes(run) == [Outcome.NOT_RUN]
 
 
-def hear(
-    run: Ticks, name: str, state: NodeState, sequence: int = 1
-) -> None:
+def hear(run: Ticks, name: str, state: NodeState, sequence: int = 1) -> None:
     """Lets the node hear a peer that owns the key space NAME~1."""
     record = NodeRecord(
         name, f"{name}~1", "127.0.0.1:5", name, "z", state, 1, True, sequence
