Take off the aim what a client spent before its request arrived

Change: the time limit is held against the longest of the route's clients lately; what is missing was spent. Directory answers are kept 4.5 s (a leaving node serves on for 4.8 s); the latest hedge goes by the time to the aim.

--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -97,7 +97,7 @@
       min_preferred: the fewest nodes near the shards that are named alone.
     """
 
-    keep_ms: Positive = 3_000
+    keep_ms: Positive = 4_500
     size: Positive = 64
     min_preferred: Positive = 2
 
--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -88,9 +88,16 @@
         arrived_ns: int,
     ) -> Request:
         limit_ms = route.timeout_ms
+        spent_ms = 0
         if arrived.time_limit_ms is not None:
             own_ms = max(1, arrived.time_limit_ms - _RETURN_MS)
             limit_ms = min(limit_ms, own_ms)
+            longest_ms = world.time_limit(route.name).record(
+                arrived.time_limit_ms, arrived_ns
+            )
+            spent_ms = patience.spent_ms(
+                route, arrived.time_limit_ms, longest_ms
+            )
         services = route.shards or (choose_target(world, route),)
         return Request(
             request_id=world.next_id(),
@@ -98,7 +105,7 @@
             route=route,
             config_version=world.active.version,
             arrived_ns=arrived_ns,
-            aim_ns=patience.aim_ns(route, arrived_ns),
+            aim_ns=patience.aim_ns(route, arrived_ns, spent_ms),
             deadline_ns=arrived_ns + limit_ms * NS_PER_MS,
             parts=[Part(service) for service in services],
             open_parts=len(services),
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -26,8 +26,8 @@
 _RETURN_MS = 3
 _MIN_HEDGE_NS = 4 * NS_PER_MS
 _FIRST_HEDGE_NS = 40 * NS_PER_MS
-# The latest hedge leaves this part of the target latency to the second try.
-_LATEST_HEDGE = 0.3
+# The latest hedge comes when this part of the time to the aim is over.
+_LATEST_HEDGE = 0.38
 
 
 def open_part(
@@ -149,7 +149,7 @@
     """Returns how long the first endpoint of a part is waited for."""
     latency = world.latency(request.route.name)
     delay_ns = latency.high_ns or float(_FIRST_HEDGE_NS)
-    latest_ns = _LATEST_HEDGE * request.route.target_latency_ms * NS_PER_MS
+    latest_ns = _LATEST_HEDGE * (request.aim_ns - request.arrived_ns)
     return int(max(min(delay_ns, latest_ns), _MIN_HEDGE_NS))
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/latencies.py
+++ b/src/snipesaddle/_internal/tables/forwarding/latencies.py
@@ -1,9 +1,10 @@
-"""Running estimates of how long the endpoints of a route take."""
+"""Running estimates of a route: how long endpoints take, and clients wait."""
 
 from dataclasses import dataclass
 
 _STEP = 0.05
 _MIN_NS = 200_000.0
+_LIMIT_MEMORY_NS = 30_000_000_000
 
 
 @dataclass(slots=True)
@@ -33,3 +34,26 @@
         down = step * 2 * (1 - self.high_quantile)
         self.high_ns *= 1 + (up if value > self.high_ns else -down)
         self.high_ns = max(self.high_ns, self.median_ns)
+
+
+@dataclass(slots=True)
+class LongestTimeLimit:
+    """The longest time limit that clients of a route sent lately.
+
+    Attributes:
+      longest_ms: the longest since `since_ns`.
+      before_ms: the longest of the span before that.
+    """
+
+    longest_ms: int = 0
+    before_ms: int = 0
+    since_ns: int = 0
+
+    def record(self, limit_ms: int, now_ns: int) -> int:
+        """Adds one time limit, and returns the longest one known."""
+        if now_ns - self.since_ns > _LIMIT_MEMORY_NS:
+            self.before_ms = self.longest_ms
+            self.longest_ms = 0
+            self.since_ns = now_ns
+        self.longest_ms = max(self.longest_ms, limit_ms)
+        return max(self.longest_ms, self.before_ms)
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -22,7 +22,10 @@
     Presence,
     ThisNode,
 )
-from snipesaddle._internal.tables.forwarding.latencies import RouteLatency
+from snipesaddle._internal.tables.forwarding.latencies import (
+    LongestTimeLimit,
+    RouteLatency,
+)
 from snipesaddle._internal.tables.forwarding.mirrors import (
     Change,
     Item,
@@ -148,6 +151,7 @@
     freed: dict[str, None] = field(default_factory=dict)
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     latencies: dict[str, RouteLatency] = field(default_factory=dict)
+    time_limits: dict[str, LongestTimeLimit] = field(default_factory=dict)
     splits: dict[str, list[float]] = field(default_factory=dict)
     counters: ForwardCounters = field(default_factory=ForwardCounters)
     ids: "itertools.count[int]" = field(
@@ -180,6 +184,13 @@
             latency = self.latencies[route_name] = RouteLatency()
         return latency
 
+    def time_limit(self, route_name: str) -> LongestTimeLimit:
+        """Returns the longest time limit of a route's clients."""
+        limit = self.time_limits.get(route_name)
+        if limit is None:
+            limit = self.time_limits[route_name] = LongestTimeLimit()
+        return limit
+
     def window(self, service: str) -> RetryWindow:
         """Returns the retry window of a service."""
         window = self.windows.get(service)
--- a/tests/unit/forwarding/test_policies.py
+++ b/tests/unit/forwarding/test_policies.py
@@ -3,12 +3,15 @@
 import random
 
 import pytest
-from standins.forwarding import ForwardTicks, merge_route
+from standins.forwarding import ForwardTicks, entry, merge_route
 
 from snipesaddle._internal.models.forwarding import RetrySettings
 from snipesaddle._internal.systems.forwarding import patience, retries
 from snipesaddle._internal.tables.forwarding.budgets import RetryWindow
-from snipesaddle._internal.tables.forwarding.latencies import RouteLatency
+from snipesaddle._internal.tables.forwarding.latencies import (
+    LongestTimeLimit,
+    RouteLatency,
+)
 from snipesaddle._internal.tables.forwarding.requests import (
     ArrivedRequest,
     Part,
@@ -28,7 +31,7 @@
         route=route,
         config_version=1,
         arrived_ns=0,
-        aim_ns=patience.aim_ns(route, 0),
+        aim_ns=patience.aim_ns(route, 0, 0),
         deadline_ns=600 * MS,
         parts=[Part(name) for name in route.shards],
         open_parts=shards,
@@ -56,6 +59,23 @@
     assert many < few <= request.aim_ns
 
 
+def test_what_a_client_spent_already_is_taken_off_the_aim() -> None:
+    ticks = ForwardTicks([merge_route(1)], [entry("s0", "s0")])
+    for limit_ms, spent_ms in ((600, 0), (575, 25), (600, 0), (300, 0)):
+        client_id = ticks.ask(b"/sweep/x", time_limit_ms=limit_ms)
+        request = ticks.world.requests[ticks.world.clients[client_id]]
+        full_ns = patience.aim_ns(request.route, request.arrived_ns, 0)
+        assert full_ns - request.aim_ns == spent_ms * MS
+
+
+def test_longer_time_limits_are_forgotten() -> None:
+    longest = LongestTimeLimit()
+    assert longest.record(600, 0) == 600
+    assert longest.record(500, 20 * S) == 600
+    assert longest.record(500, 40 * S) == 600
+    assert longest.record(500, 80 * S) == 500
+
+
 def test_estimates_find_the_quantiles_of_latencies() -> None:
     rng = random.Random(1)
     latency = RouteLatency()
