Probe connections to the store and to other nodes, so that silent ones end

Waiting watches noticed it after 16 s, and with all nodes stuck no peer could help. Change: the operating system probes these connections after 1 s of silence, and bytes without an acknowledgement end them after 3 s; ZeroMQ does the same.

--- a/src/snipesaddle/_internal/adapters/http1/caller.py
+++ b/src/snipesaddle/_internal/adapters/http1/caller.py
@@ -21,7 +21,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._ids = itertools.count(1)
-        self._idle: list[ClientConnection] = []
+        self.idle: list[ClientConnection] = []
         self._waiting: dict[int, asyncio.Future[HttpResponse]] = {}
 
     async def call(
@@ -64,9 +64,9 @@
 
     def close(self) -> None:
         """Closes the idle connections."""
-        for connection in self._idle:
+        for connection in self.idle:
             connection.close()
-        self._idle.clear()
+        self.idle.clear()
 
     def is_expected(
         self, connection: ClientConnection, response: HttpResponse
@@ -82,24 +82,24 @@
     ) -> None:
         future = self._waiting.pop(connection.connection_id, None)
         if reusable:
-            self._idle.append(connection)
+            self.idle.append(connection)
         else:
             connection.close()
         if future is not None and not future.done():
             future.set_result(response)
 
     def on_end(self, connection: ClientConnection, detail: str) -> None:
-        if connection in self._idle:
-            self._idle.remove(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
         future = self._waiting.pop(connection.connection_id, None)
         if future is not None and not future.done():
             future.set_exception(ConnectionError(detail))
 
     async def _take(self, timeout_s: float) -> ClientConnection:
-        if self._idle:
-            return self._idle.pop()
+        if self.idle:
+            return self.idle.pop()
         connection = ClientConnection(next(self._ids), self)
-        await connect(self._address, connection, timeout_s)
+        await connect(self._address, connection, timeout_s, probed=True)
         return connection
 
     def _encode(self, method: str, target: str, body: bytes) -> bytes:
--- a/src/snipesaddle/_internal/adapters/http1/client.py
+++ b/src/snipesaddle/_internal/adapters/http1/client.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from snipesaddle._internal.adapters import keep_alive
 from snipesaddle._internal.adapters.http1.fields import Headers, find_field
 
 _NO_BODY = frozenset({204, 304})
@@ -74,6 +75,12 @@
         """Tells whether a request waits for its response."""
         return self._busy
 
+    def option(self, level: int, option: int) -> int:
+        """Returns an option of its socket."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        return int(sock.getsockopt(level, option))
+
     def send(self, data: bytes, is_head: bool = False) -> None:
         """Writes a request; nothing is sent on a connection that is gone."""
         self._busy = True
@@ -167,14 +174,14 @@
 
     def _deliver(self) -> None:
         complete, self._complete = self._complete, []
-        for position, (response, keep_alive) in enumerate(complete):
+        for position, (response, stays_open) in enumerate(complete):
             if not self._listener.is_expected(self, response):
                 self._spoiled = True
                 continue
             is_last = position == len(complete) - 1
             clean = is_last and not self._in_message and not self._spoiled
             self._busy = False
-            reusable = clean and keep_alive and self._is_drained()
+            reusable = clean and stays_open and self._is_drained()
             self._listener.on_response(self, response, reusable)
             return
 
@@ -197,14 +204,25 @@
 
 
 async def connect(
-    address: str, connection: ClientConnection, timeout_s: float
+    address: str,
+    connection: ClientConnection,
+    timeout_s: float,
+    *,
+    probed: bool = False,
 ) -> None:
     """Opens a connection.
 
+    One that is `probed` ends when the server falls silent, also while nothing
+    is sent.
+
     Raises:
       OSError: it could not be opened, or not in time.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        await loop.create_connection(lambda: connection, host, int(port))
+        transport, _ = await loop.create_connection(
+            lambda: connection, host, int(port)
+        )
+    if probed:
+        keep_alive.enable(transport.get_extra_info("socket"))
--- /dev/null
+++ b/src/snipesaddle/_internal/adapters/keep_alive.py
@@ -0,0 +1,44 @@
+"""Keep-alive: how a connection that has gone silent is noticed.
+
+A connection may be dropped on its way without a reset. Nothing is heard on
+one that only waits, so the operating system probes it.
+"""
+
+import socket
+from typing import Protocol
+
+import zmq
+
+PROBE_AFTER_S = 1
+PROBE_GAP_S = 1
+PROBES = 2
+# How long bytes that were sent may stay without an acknowledgement.
+UNACKNOWLEDGED_MS = 3_000
+
+
+class SupportsOptions(Protocol):
+    """A socket whose options can be set; that of uvloop is no `socket`."""
+
+    def setsockopt(self, level: int, option: int, value: int, /) -> None:
+        """Sets an option."""
+
+
+def enable(sock: SupportsOptions) -> None:
+    """Ends a TCP connection some seconds after the other end fell silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+        (socket.TCP_KEEPINTVL, PROBE_GAP_S),
+        (socket.TCP_KEEPCNT, PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def enable_zmq(sock: "zmq.Socket[bytes]") -> None:
+    """Lets ZeroMQ reconnect some seconds after the other end fell silent."""
+    sock.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_IDLE, PROBE_AFTER_S)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_INTVL, PROBE_GAP_S)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_CNT, PROBES)
+    sock.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
--- a/src/snipesaddle/_internal/adapters/zmq_peer.py
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -8,6 +8,7 @@
 import zmq
 from absl import logging
 
+from snipesaddle._internal.adapters import keep_alive
 from snipesaddle._internal.ports.peer_transport import PeerTransport, Receive
 
 _SEND_QUEUE = 1_000
@@ -42,7 +43,7 @@
         name = type(message).__name__.encode()
         body = self._encode(message)
         try:
-            self._socket(peer_address).send_multipart(
+            self.socket_to(peer_address).send_multipart(
                 [name, body], flags=zmq.NOBLOCK
             )
         except zmq.Again:
@@ -67,13 +68,15 @@
         self._pull.close()
         self._context.term()
 
-    def _socket(self, peer_address: str) -> "zmq.Socket[bytes]":
+    def socket_to(self, peer_address: str) -> "zmq.Socket[bytes]":
+        """Returns the socket to a peer, made when it is new."""
         socket = self._push.get(peer_address)
         if socket is None:
             socket = self._context.socket(zmq.PUSH)
             socket.setsockopt(zmq.IMMEDIATE, 1)
             socket.setsockopt(zmq.SNDHWM, _SEND_QUEUE)
             socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+            keep_alive.enable_zmq(socket)
             socket.connect(f"tcp://{peer_address}")
             self._push[peer_address] = socket
         return socket
--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -7,7 +7,9 @@
 
 import anyio
 import pytest
+import zmq
 
+from snipesaddle._internal.adapters import keep_alive
 from snipesaddle._internal.adapters.http1.caller import (
     CallFailedError,
     HttpCaller,
@@ -24,6 +26,7 @@
     RequestHandler,
     ServerLimits,
 )
+from snipesaddle._internal.adapters.zmq_peer import ZmqPeerTransport
 from tests.standins.fleet import free_ports
 
 pytestmark = pytest.mark.anyio
@@ -260,3 +263,64 @@
     echo.server.limits = ServerLimits(max_header_bytes=100)
     received = await spoken(echo, b"GET / HTTP/1.1\r\nX: " + b"y" * 200)
     assert b" 431 " in received
+
+
+class Options:
+    """Keeps the options that a socket is given."""
+
+    def __init__(self) -> None:
+        self.given: dict[tuple[int, int], int] = {}
+
+    def setsockopt(self, level: int, option: int, value: int, /) -> None:
+        self.given[level, option] = value
+
+
+SILENCE_BOUND_S = 4
+
+
+def test_keep_alive_notices_silence_within_the_bound() -> None:
+    sock = Options()
+    keep_alive.enable(sock)
+    tcp = socket.IPPROTO_TCP
+    after_s = sock.given[tcp, socket.TCP_KEEPIDLE]
+    gap_s = sock.given[tcp, socket.TCP_KEEPINTVL]
+    count = sock.given[tcp, socket.TCP_KEEPCNT]
+    assert after_s + gap_s * count < SILENCE_BOUND_S
+    unacknowledged_ms = sock.given[tcp, socket.TCP_USER_TIMEOUT]
+    assert unacknowledged_ms < SILENCE_BOUND_S * 1_000
+
+
+@pytest.mark.parametrize("probed", [True, False])
+async def test_only_probed_connections_are_probed(probed: bool) -> None:
+    port = free_ports(1)
+    echo = Echo()
+    address = f"127.0.0.1:{port}"
+    await echo.server.start(address)
+    connection = ClientConnection(1, Listener())
+    await connect(address, connection, 1.0, probed=probed)
+    assert connection.option(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == probed
+    connection.close()
+    echo.server.stop()
+
+
+async def test_calls_go_over_probed_connections() -> None:
+    port = free_ports(1)
+    echo = Echo()
+    address = f"127.0.0.1:{port}"
+    await echo.server.start(address)
+    caller = HttpCaller(address)
+    await caller.call("GET", "/", b"", 1.0)
+    (connection,) = caller.idle
+    assert connection.option(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    caller.close()
+    echo.server.stop()
+
+
+async def test_peers_are_probed() -> None:
+    port = free_ports(2)
+    other = port + 1
+    peers = ZmqPeerTransport(f"127.0.0.1:{port}", ())
+    sock = peers.socket_to(f"127.0.0.1:{other}")
+    assert sock.getsockopt(zmq.TCP_KEEPALIVE) == 1
+    assert sock.getsockopt(zmq.TCP_MAXRT) < SILENCE_BOUND_S * 1_000
+    peers.close()
