--- a/src/snipesaddle/_internal/adapters/http1/caller.py
+++ b/src/snipesaddle/_internal/adapters/http1/caller.py
@@ -19,7 +19,7 @@
     """Makes calls; a connection on which one failed is not used again."""
 
     def __init__(self, address: str) -> None:
-        self._address = address
+        self.address = address
         self._ids = itertools.count(1)
         self.idle: list[ClientConnection] = []
         self._waiting: dict[int, asyncio.Future[HttpResponse]] = {}
@@ -63,10 +63,13 @@
                     connection.close()
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Closes all connections; calls in flight fail."""
         for connection in self.idle:
             connection.close()
         self.idle.clear()
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionError("closed"))
 
     def is_expected(
         self, connection: ClientConnection, response: HttpResponse
@@ -99,11 +102,11 @@
         if self.idle:
             return self.idle.pop()
         connection = ClientConnection(next(self._ids), self)
-        await connect(self._address, connection, timeout_s, probed=True)
+        await connect(self.address, connection, timeout_s, probed=True)
         return connection
 
     def _encode(self, method: str, target: str, body: bytes) -> bytes:
-        lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
         if body:
             lines.append("Content-Type: application/json")
         if body or method == "POST":
--- a/src/snipesaddle/_internal/daemon/forward_node.py
+++ b/src/snipesaddle/_internal/daemon/forward_node.py
@@ -24,14 +24,11 @@
     ForwardDispatcher,
     ForwardPorts,
 )
-from snipesaddle._internal.errors import SettingsError
+from snipesaddle._internal.daemon.settings_watch import SettingsWatch
 from snipesaddle._internal.metrics import decision_log
 from snipesaddle._internal.metrics.decision_log import DecisionLog
 from snipesaddle._internal.metrics.outcomes import OutcomeHistograms
-from snipesaddle._internal.models.forwarding import (
-    ForwardSettings,
-    load_settings,
-)
+from snipesaddle._internal.models.forwarding import ForwardSettings
 from snipesaddle._internal.ports.forwarding import (
     ClientFront,
     EndpointTransport,
@@ -118,6 +115,7 @@
             peers.receive(lambda message: self._deliver(store, message))
         )
         self._stack.callback(receiving.cancel)
+        self._watch_settings(store)
         self._watch_signals(loop)
         await self._serve_metrics()
         self._log.write(
@@ -153,18 +151,17 @@
             loop.add_signal_handler(
                 number, self._world.inbox.put, events.LeaveAsked()
             )
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
 
-    def _reload(self) -> None:
-        try:
-            settings = load_settings(self._path)
-        except SettingsError as error:
-            logging.error("settings are kept as they were: %s", error)
-            return
-        changed = settings != self._settings
-        self._settings = settings
-        self._world.settings = settings
-        self._log.write("reloaded", {"changed": changed})
+    def _watch_settings(self, store: MirrorStore) -> None:
+        def apply(settings: ForwardSettings) -> None:
+            self._world.settings = settings
+            store.move(settings.store.address)
+
+        watch = SettingsWatch(self._path, self._settings, self._log, apply)
+        watch.start()
+        self._stack.callback(watch.stop)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, watch.reload)
 
     async def _serve_metrics(self) -> None:
         server = HttpServer(_Metrics(self._world, self._histograms))
--- a/src/snipesaddle/_internal/ports/forwarding.py
+++ b/src/snipesaddle/_internal/ports/forwarding.py
@@ -63,6 +63,10 @@
     A failed call is an event, not an exception.
     """
 
+    @abc.abstractmethod
+    def move(self, address: str) -> None:
+        """Makes the calls to come at an address; those in flight fail."""
+
     @abc.abstractmethod
     async def list(
         self, command: commands.ListRange
--- a/src/snipesaddle/platform/store.py
+++ b/src/snipesaddle/platform/store.py
@@ -174,6 +174,12 @@
         except msgspec.MsgspecError:
             return None
 
+    def move(self, address: str) -> None:
+        """Makes the calls to come at an address; those in flight fail."""
+        if address != self._caller.address:
+            self._caller.close()
+            self._caller = HttpCaller(address)
+
     def close(self) -> None:
         """Closes the connections."""
         self._caller.close()
--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -316,6 +316,22 @@
     echo.server.stop()
 
 
+async def test_closing_a_caller_fails_its_calls_in_flight() -> None:
+    port = free_ports(1)
+    echo = Echo(answering=False)
+    address = f"127.0.0.1:{port}"
+    await echo.server.start(address)
+    caller = HttpCaller(address)
+    call = asyncio.ensure_future(caller.call("GET", "/", b"", 5.0))
+    with anyio.fail_after(2):
+        while not echo.requests:
+            await anyio.sleep(0.01)
+    caller.close()
+    with pytest.raises(CallFailedError, match="closed"):
+        await call
+    echo.server.stop()
+
+
 async def test_peers_are_probed() -> None:
     port = free_ports(2)
     other = port + 1
