Soak the forwarding tier by seed, and let no signal to reload end a starting node

The soak runs three nodes as processes on stand-ins: they are killed, paused, stopped and started; connections to the store and the leafs are cut, silenced, delayed or lose what comes back; the store goes away; versions and shard sets change. It checks merged records, signatures, 'not run', runs of what must run once, versions that go back, and that all is whole 6 s after the last fault. Ruled out: crashes (no traceback), the store (others read it meanwhile). Change: the signal is ignored from the first line of the program until the settings are watched.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 
-.PHONY: generate setup test demo check promises chaos bench-tail bench-slopes bench-call bench-fanout
+.PHONY: generate setup test demo check promises chaos soak bench-tail bench-slopes bench-call bench-fanout
 
 setup: $(STAMP)
 
@@ -29,6 +29,9 @@
 chaos: $(STAMP)
 	$(PY) -m tests.chaos --seed $(SEED)
 
+soak: $(STAMP)
+	$(PY) -m tests.soak --seed $(SEED)
+
 bench-tail: $(STAMP)
 	$(PY) -m bench.tail
 
--- a/src/snipesaddle/platform/__main__.py
+++ b/src/snipesaddle/platform/__main__.py
@@ -1,51 +1,18 @@
-"""The entry point of an entry node on the users' platform."""
+"""The program of an entry node on the users' platform."""
 
-import os
-import sys
-from contextlib import ExitStack
-from pathlib import Path
+import signal
 
-import anyio
 
-from snipesaddle._internal.daemon.forward_node import ForwardNode
-from snipesaddle._internal.errors import SettingsError
-from snipesaddle._internal.models.forwarding import (
-    ForwardSettings,
-    load_settings,
-)
-from snipesaddle.platform.endpoints import PlatformEndpoints
-from snipesaddle.platform.front import PlatformFront
-from snipesaddle.platform.store import PlatformStore
-
-_SETTINGS_VARIABLE = "SNIPESADDLE_BOOT"
-
-
-async def run(settings: ForwardSettings, path: Path) -> None:
-    """Runs an entry node until it has left."""
-    with ExitStack() as stack:
-        node = ForwardNode(settings, path, stack)
-        front = PlatformFront(node.inbox, node.now_ns)
-        stack.callback(front.stop)
-        store = PlatformStore(settings.store.address)
-        stack.callback(store.close)
-        await front.start(
-            settings.node.front,
-            settings.node.directory,
-            settings.node.readiness,
-        )
-        endpoints = PlatformEndpoints(node.inbox)
-        await node.run(endpoints, front, store)
+def main() -> None:
+    """Runs the node.
 
+    The platform may tell of changed settings while the program still loads.
+    They are read afterwards, so that the signal is ignored until then.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from snipesaddle.platform import entry
 
-def main() -> None:
-    """Reads the settings and runs the node."""
-    path = Path(os.environ.get(_SETTINGS_VARIABLE, ""))
-    try:
-        settings = load_settings(path)
-    except SettingsError as error:
-        sys.exit(f"snipesaddle: {error}")
-    options = {"use_uvloop": settings.event_loop == "uvloop"}
-    anyio.run(run, settings, path, backend_options=options)
+    entry.main()
 
 
 if __name__ == "__main__":
--- a/tests/functional/test_users_platform.py
+++ b/tests/functional/test_users_platform.py
@@ -1,6 +1,5 @@
 """The programs of the users' platform, as real processes on stand-ins."""
 
-import json
 import os
 import signal
 import subprocess
@@ -8,160 +7,17 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
 
 import anyio
-import httpx
 import pytest
-import yaml
-
-from tests.standins.fleet import free_ports
-from tests.standins.users_platform import (
-    LeafStandIn,
-    StoreStandIn,
-    start_leaf,
-    wait_until,
-)
-
-HOST = "desk.example"
-_PORTS_PER_NODE = 5
-
-
-def config(version: int, **changes: Any) -> dict[str, Any]:
-    shared = {
-        "host": HOST,
-        "timeout_ms": 2_000,
-        "target_latency_ms": 500,
-        "priority": 1,
-        "attempts": 2,
-        "a_new_field": [1],
-    }
-    sweep = shared | {
-        "name": "r1",
-        "prefix": "/sweep/",
-        "route_type": "idempotent",
-        "gather": ["s0", "s1"],
-        "top_k": 3,
-        "min_coverage": 0.5,
-    }
-    order = shared | {
-        "name": "r2",
-        "prefix": "/order/",
-        "route_type": "non_idempotent",
-        "service": "file",
-    }
-    names = ["s0", "s1", "file"]
-    return {
-        "version": version,
-        "routes": [sweep, order],
-        "services": [{"name": n, "max_connections": 20} for n in names],
-        "limits": {
-            "max_header_bytes": 4_096,
-            "max_body_bytes": 8_192,
-            "header_timeout_ms": 1_000,
-            "idle_timeout_ms": 10_000,
-        },
-    } | changes
-
-
-class Site:
-    """A store, three leafs and some nodes."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.store = StoreStandIn()
-        self.leafs = [
-            LeafStandIn("i-0", "s0", [5, 1]),
-            LeafStandIn("i-1", "s1", [9, 3]),
-            LeafStandIn("i-2", "file", [7]),
-        ]
-        self.nodes: dict[str, subprocess.Popen[bytes]] = {}
-        self.ports: dict[str, int] = {}
-        self._first_port = free_ports(20)
-        self.client = httpx.AsyncClient(timeout=5)
-
-    async def start(self) -> None:
-        first = self._first_port
-        await self.store.server.start(f"127.0.0.1:{first}")
-        for number, leaf in enumerate(self.leafs):
-            await start_leaf(leaf, first + 1 + number)
-            self.store.put(f"servers/{leaf.leaf_id}", leaf.entry())
-        self.store.put("servers/i-bad", {"service": 7})
-        self.store.put("servers/i-raw", b"\xff\x00")
-
-    def start_node(self, name: str) -> None:
-        first = self._first_port + 5 + _PORTS_PER_NODE * len(self.nodes)
-        names = ("front", "readiness", "directory", "peer", "metrics")
-        addresses = {
-            key: f"127.0.0.1:{first + number}"
-            for number, key in enumerate(names)
-        }
-        settings = {
-            "node": {"name": name, "zone": "z1"} | addresses,
-            "store": {"address": f"127.0.0.1:{self._first_port}"},
-            "a_new_section": {"x": 1},
-        }
-        path = self.folder / f"{name}.yaml"
-        path.write_text(yaml.safe_dump(settings))
-        with (self.folder / f"{name}.log").open("wb") as log:
-            self.nodes[name] = subprocess.Popen(
-                [sys.executable, "-m", "snipesaddle.platform"],
-                env=os.environ | {"SNIPESADDLE_BOOT": str(path)},
-                stdout=log,
-            )
-        self.ports[name] = first
-
-    def url(self, name: str, offset: int, path: str) -> str:
-        return f"http://127.0.0.1:{self.ports[name] + offset}{path}"
-
-    async def ready(self, name: str) -> bool:
-        try:
-            url = self.url(name, 1, "/snipesaddle/readyz")
-            return (await self.client.get(url)).status_code == 200
-        except httpx.HTTPError:
-            return False
-
-    async def started(self, name: str) -> None:
-        self.start_node(name)
 
-        async def ready() -> bool:
-            return await self.ready(name)
-
-        await wait_until(ready)
-
-    async def ask(self, name: str, path: str, **options: Any) -> httpx.Response:
-        headers = {"Host": HOST, "Request-Id": "q1"}
-        headers |= {"Request-Deadline-Ms": "2000"}
-        headers |= options.pop("headers", {})
-        method = options.pop("method", "GET")
-        return await self.client.request(
-            method, self.url(name, 0, path), headers=headers, **options
-        )
-
-    async def named(self, name: str) -> list[str]:
-        url = self.url(name, 2, "/snipesaddle/resolve")
-        fields = {"name": HOST, "zone": "z1", "region": "r"}
-        reply = await self.client.get(url, params=fields)
-        addresses: list[str] = reply.json().get("addrs", [])
-        return sorted(addresses)
-
-    def log(self, name: str) -> list[dict[str, Any]]:
-        lines = (self.folder / f"{name}.log").read_text().splitlines()
-        return [json.loads(line) for line in lines]
-
-    async def stop(self) -> None:
-        for process in self.nodes.values():
-            process.kill()
-            process.wait()
-        await self.client.aclose()
-        self.store.server.stop()
-        for leaf in self.leafs:
-            leaf.server.stop()
+from tests.standins.forward_site import Site, config, three_leafs
+from tests.standins.users_platform import wait_until
 
 
 @asynccontextmanager
 async def running(folder: Path, *names: str) -> AsyncIterator[Site]:
-    site = Site(folder)
+    site = Site(folder, three_leafs())
     await site.start()
     site.store.put("op/config", config(3))
     try:
@@ -172,6 +28,9 @@
         await site.stop()
 
 
+# Until then the interpreter itself starts, and no program can be ready.
+_INTERPRETER_START_S = 0.1
+
 pytestmark = pytest.mark.anyio
 
 
@@ -330,6 +189,21 @@
         assert "snipesaddle_refused_total 1" in metrics.text
 
 
+async def test_a_signal_to_reload_does_not_end_a_node_that_starts(
+    tmp_path: Path,
+) -> None:
+    async with running(tmp_path) as site:
+        site.start_node("e1")
+
+        async def hung_up_until_ready() -> bool:
+            site.nodes["e1"].send_signal(signal.SIGHUP)
+            return await site.ready("e1")
+
+        await anyio.sleep(_INTERPRETER_START_S)
+        await wait_until(hung_up_until_ready)
+        assert site.nodes["e1"].poll() is None
+
+
 def test_wrong_settings_end_the_start_with_one_message(
     tmp_path: Path,
 ) -> None:
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,389 @@
+"""A soak of the forwarding tier: real processes under random faults by seed.
+
+Nodes run as processes; leafs, the store and the proxies before them are
+stand-ins here. Faults come in two lanes that overlap: nodes are killed,
+paused, stopped and started; connections are cut, silenced, delayed, or lose
+what comes back; the store goes away. Promises are checked from what clients
+and leafs see. Exit status 1 if one was broken.
+"""
+
+import argparse
+import collections
+import hashlib
+import json
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+
+from snipesaddle._internal.adapters.http1.server import HttpRequest
+from tests.standins.forward_site import Site, config
+from tests.standins.proxy import Route, RouteSpec
+from tests.standins.users_platform import LeafStandIn
+
+_SETS = (("s0", "s1"), ("t0", "t1", "t2"))
+_SERVICES = (*_SETS[0], *_SETS[1], "file")
+_REPLICAS = 2
+_NODES = ("e1", "e2", "e3")
+_TOP_K = 3
+_IN_FORCE_S = 6.0
+_CLIENTS = 6
+_LANES = 3
+_SETTINGS = {"directory": {"keep_ms": 300}}
+_NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+def records_of(service: str, key: str) -> list[bytes]:
+    """Returns the records that a service holds for a request."""
+    seeds = [f"{service}/{key}/{number}" for number in range(_TOP_K)]
+    return [hashlib.md5(seed.encode()).digest() for seed in seeds]
+
+
+class SoakLeaf(LeafStandIn):
+    """Answers with records that belong to one request, and signs them."""
+
+    def answer_of(self, request: HttpRequest) -> tuple[bytes, bytes]:
+        key = (request.header(b"request-id") or b"").decode()
+        stamp = f"{self.service}:{self.leaf_id}:{key}".encode()
+        return stamp, b"".join(records_of(self.service, key))
+
+
+@dataclass
+class Seen:
+    """What clients saw.
+
+    Attributes:
+      probes: for each process, when a route of a version was asked for and
+        answered, and the version.
+    """
+
+    outcomes: collections.Counter[str] = field(
+        default_factory=collections.Counter
+    )
+    broken: list[str] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+    probes: dict[int, list[tuple[float, float, int]]] = field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, folder: Path, seed: int, seconds: float) -> None:
+        self.rng = random.Random(seed)
+        self.until = time.monotonic() + seconds
+        self.seen = Seen()
+        self.version = 3
+        self.faults: list[str] = []
+        self.numbers = 0
+        self.busy: set[str] = set()
+        leafs: list[LeafStandIn] = [
+            SoakLeaf(f"i-{service}-{number}", service, [])
+            for service in _SERVICES
+            for number in range(_REPLICAS)
+        ]
+        self.site = Site(folder, leafs)
+        self.site.settings = _SETTINGS
+        self.routes: dict[str, Route] = {}
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            await self._start(group)
+            async with anyio.create_task_group() as work:
+                for _ in range(_CLIENTS):
+                    work.start_soon(self._client, random.Random(self._draw()))
+                for _ in range(_LANES):
+                    work.start_soon(self._lane, random.Random(self._draw()))
+            await self._settle()
+            self._check()
+            group.cancel_scope.cancel()
+        await self.site.stop()
+
+    def _draw(self) -> float:
+        return self.rng.random()
+
+    async def _start(self, group: Any) -> None:
+        site = self.site
+        await site.start()
+        for leaf in site.leafs:
+            await self._proxy(group, leaf.leaf_id, leaf.address)
+            leaf.address = f"127.0.0.1:{self.routes[leaf.leaf_id].spec.port}"
+            site.store.put(f"servers/{leaf.leaf_id}", leaf.entry())
+        self._publish()
+        for name in _NODES:
+            await self._proxy(group, name, site.store_address)
+            port = self.routes[name].spec.port
+            site.store_addresses[name] = f"127.0.0.1:{port}"
+            await site.started(name)
+
+    async def _proxy(self, group: Any, name: str, target: str) -> None:
+        port = self.site.take_port()
+        spec = RouteSpec(port, int(target.rpartition(":")[2]))
+        self.routes[name] = Route(spec)
+        await group.start(self.routes[name].run)
+
+    def _publish(self) -> None:
+        """Publishes a version with a route of its own, and other shards."""
+        self.version += 1
+        base = config(self.version)
+        sweep, order = base["routes"]
+        sweep |= {"gather": list(_SETS[self.version % 2]), "top_k": _TOP_K}
+        own = order | {"name": f"v{self.version}"}
+        own |= {"prefix": f"/v{self.version}/", "route_type": "idempotent"}
+        services = [{"name": n, "max_connections": 40} for n in _SERVICES]
+        changed = base | {"routes": [sweep, order, own], "services": services}
+        self.site.store.put("op/config", changed)
+
+    async def _client(self, rng: random.Random) -> None:
+        asks = (self._sweep, self._sweep, self._order, self._probe)
+        while time.monotonic() < self.until:
+            self.numbers += 1
+            name = rng.choice(_NODES)
+            await rng.choice(asks)(name, f"q{self.numbers}", rng)
+            await anyio.sleep(rng.uniform(0, 0.03))
+
+    async def _ask(self, name: str, path: str, key: str) -> Any:
+        try:
+            reply = await self.site.ask(name, path, headers={"Request-Id": key})
+        except httpx.HTTPError as error:
+            self.seen.outcomes[type(error).__name__] += 1
+            return None
+        self.seen.outcomes[f"{path.split('/')[1][:5]} {reply.status_code}"] += 1
+        if reply.status_code in _NOT_RUN:
+            self.seen.refused.add(key)
+        return reply
+
+    async def _sweep(self, name: str, key: str, rng: random.Random) -> None:
+        del rng
+        reply = await self._ask(name, "/sweep/x", key)
+        if reply is None or reply.status_code != 200:
+            if reply is not None and reply.status_code == 404:
+                self._broken(key, "404 for a route of all versions")
+            return
+        stamps = [
+            s.split(":") for s in reply.headers["part-stamps"].split(", ")
+        ]
+        services = [stamp[0] for stamp in stamps]
+        missing = int(reply.headers["missing-parts"])
+        wholes = [set(s) for s in _SETS if set(services) <= set(s)]
+        if {stamp[2] for stamp in stamps} != {key}:
+            self._broken(key, "a part of another request")
+        if len(set(services)) < len(services) or not wholes:
+            self._broken(key, f"parts of {services}")
+        elif len(services) + missing != len(wholes[0]):
+            self._broken(key, f"{missing} said to be missing of {services}")
+        records = [r for s in services for r in records_of(s, key)]
+        if reply.content != b"".join(sorted(records)[::-1][:_TOP_K]):
+            self._broken(key, "records that are not the greatest")
+
+    async def _order(self, name: str, key: str, rng: random.Random) -> None:
+        del rng
+        reply = await self._ask(name, "/order/x", key)
+        whole = b"".join(records_of("file", key))
+        if reply is None or reply.status_code != 200:
+            return
+        if reply.content != whole:
+            self._broken(key, "the answer of another request")
+
+    async def _probe(self, name: str, key: str, rng: random.Random) -> None:
+        version = max(4, self.version - rng.randrange(3))
+        process = self.site.nodes[name].pid
+        asked = time.monotonic()
+        reply = await self._ask(name, f"/v{version}/x", key)
+        if reply is not None and reply.status_code == 200:
+            times = (asked, time.monotonic(), version)
+            self.seen.probes[process].append(times)
+
+    def _broken(self, key: str, what: str) -> None:
+        self.seen.broken.append(f"{key}: {what}")
+
+    async def _lane(self, rng: random.Random) -> None:
+        faults: tuple[Callable[[random.Random], Awaitable[None]], ...] = (
+            self._kill,
+            self._restart,
+            self._pause,
+            self._harm_store,
+            self._harm_leaf,
+            self._store_away,
+            self._change,
+            self._reload,
+        )
+        while time.monotonic() < self.until:
+            await rng.choice(faults)(rng)
+            await anyio.sleep(rng.uniform(0.05, 0.4))
+
+    def _take(self, rng: random.Random) -> str | None:
+        free = [name for name in _NODES if name not in self.busy]
+        if len(free) < 2:
+            return None
+        name = rng.choice(free)
+        self.busy.add(name)
+        return name
+
+    async def _hurt(
+        self, rng: random.Random, kind: str, number: signal.Signals
+    ) -> None:
+        name = self._take(rng)
+        if name is None:
+            return
+        self.faults.append(f"{kind} {name}")
+        node = self.site.nodes[name]
+        node.send_signal(number)
+        await anyio.sleep(rng.uniform(0.2, 1.5))
+        if number is signal.SIGSTOP:
+            node.send_signal(signal.SIGCONT)
+        else:
+            with anyio.fail_after(10):
+                await anyio.to_thread.run_sync(node.wait)
+            # One that still starts has taken nothing on, and ends at once.
+            ended = (0, -signal.SIGTERM)
+            if number is signal.SIGTERM and node.returncode not in ended:
+                self._broken(name, f"ended with {node.returncode}")
+            self.site.start_node(name)
+        self.busy.discard(name)
+
+    async def _kill(self, rng: random.Random) -> None:
+        await self._hurt(rng, "kill", signal.SIGKILL)
+
+    async def _restart(self, rng: random.Random) -> None:
+        await self._hurt(rng, "restart", signal.SIGTERM)
+
+    async def _pause(self, rng: random.Random) -> None:
+        await self._hurt(rng, "pause", signal.SIGSTOP)
+
+    async def _harm_store(self, rng: random.Random) -> None:
+        await self._harm(rng, rng.choice(_NODES))
+
+    async def _harm_leaf(self, rng: random.Random) -> None:
+        await self._harm(rng, rng.choice(self.site.leafs).leaf_id)
+
+    async def _harm(self, rng: random.Random, name: str) -> None:
+        harms: list[dict[str, Any]] = [
+            {"cut": True},
+            {"freeze": True},
+            {"drop_replies": True},
+            {"delay_ms": 200.0},
+        ]
+        harm = rng.choice(harms)
+        self.faults.append(f"connections of {name}: {harm}")
+        spec = self.routes[name].spec
+        for key, value in harm.items():
+            setattr(spec, key, value)
+        if spec.cut:
+            for scope in list(self.routes[name].scopes):
+                scope.cancel()
+        await anyio.sleep(rng.uniform(0.2, 2.0))
+        for key, value in harm.items():
+            setattr(spec, key, type(value)())
+
+    async def _store_away(self, rng: random.Random) -> None:
+        self.faults.append("store away")
+        self.site.store.down = True
+        await anyio.sleep(rng.uniform(0.2, 1.5))
+        self.site.store.down = False
+
+    async def _change(self, rng: random.Random) -> None:
+        del rng
+        self.faults.append(f"publish {self.version + 1}")
+        self._publish()
+
+    async def _reload(self, rng: random.Random) -> None:
+        name = rng.choice(_NODES)
+        if name not in self.busy:
+            self.site.nodes[name].send_signal(signal.SIGHUP)
+
+    async def _settle(self) -> None:
+        """Waits until all serve the newest version, with all its shards."""
+        left = set(_NODES)
+        with anyio.move_on_after(_IN_FORCE_S):
+            while left:
+                for name in sorted(left):
+                    if await self._is_whole(name):
+                        left.discard(name)
+                await anyio.sleep(0.1)
+        for name in sorted(left):
+            self._broken(name, f"not whole {_IN_FORCE_S} s after the faults")
+
+    async def _is_whole(self, name: str) -> bool:
+        self.numbers += 1
+        own = await self._ask(name, f"/v{self.version}/x", f"q{self.numbers}")
+        sweep = await self._ask(name, "/sweep/x", f"w{self.numbers}")
+        replies = (own, sweep)
+        if any(r is None or r.status_code != 200 for r in replies):
+            return False
+        return bool(sweep.headers["missing-parts"] == "0")
+
+    def _check(self) -> None:
+        runs = collections.Counter(
+            (run.header(b"request-id") or b"").decode()
+            for leaf in self.site.leafs
+            for run in leaf.runs
+            if run.target.startswith(b"/order/")
+        )
+        for key, count in runs.items():
+            if count > 1:
+                self._broken(key, f"ran {count} times")
+        for key in runs.keys() & self.seen.refused:
+            self._broken(key, "was said not to have run")
+        for probes in self.seen.probes.values():
+            self._check_versions(probes)
+
+    def _check_versions(self, probes: list[tuple[float, float, int]]) -> None:
+        for _, answered, newer in probes:
+            for asked, _, older in probes:
+                if older < newer and asked > answered:
+                    self._broken(f"v{older}", f"served again after v{newer}")
+
+
+async def run(
+    seed: int, seconds: float, folder: Path
+) -> tuple[dict[str, Any], list[str]]:
+    """Runs one seed; returns its figures and what was broken.
+
+    The logs of the nodes are in the folder afterwards.
+    """
+    soak = Soak(folder, seed, seconds)
+    await soak.run()
+    seen = soak.seen
+    row = {
+        "seed": seed,
+        "requests": soak.numbers,
+        "faults": len(soak.faults),
+        "versions": soak.version,
+        "outcomes": dict(sorted(seen.outcomes.items())),
+        "broken": len(seen.broken),
+    }
+    return row, [*seen.broken, *(["faults:", *soak.faults] * bool(seen.broken))]
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--logs", type=Path, help="where to keep the logs")
+    args = parser.parse_args()
+    folder = args.logs or Path(tempfile.mkdtemp())
+    folder.mkdir(parents=True, exist_ok=True)
+    row, broken = anyio.run(run, args.seed, args.seconds, folder)
+    if broken:
+        print(f"the logs of the nodes are in {folder}", file=sys.stderr)
+    elif args.logs is None:
+        shutil.rmtree(folder)
+    for line in broken[:60]:
+        print(line, file=sys.stderr)
+    print(json.dumps(row), flush=True)
+    return 1 if row["broken"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -178,10 +178,10 @@
         self.runs.append(request)
         if self.mode == "silent":
             return
-        body = b"".join(n.to_bytes(16, "big") for n in self.records)
+        stamp, body = self.answer_of(request)
         length = len(body) + (5 if self.mode == "short" else 0)
         headers = (
-            (b"Server-Stamp", b"stamp-" + self.leaf_id.encode()),
+            (b"Server-Stamp", stamp),
             (b"Request-Id", request.header(b"request-id") or b""),
             (b"Content-Length", b"%d" % length),
         )
@@ -193,6 +193,12 @@
     def on_gone(self, client_id: int) -> None:
         del client_id
 
+    def answer_of(self, request: HttpRequest) -> tuple[bytes, bytes]:
+        """Returns the signature and the body of an answer."""
+        del request
+        body = b"".join(n.to_bytes(16, "big") for n in self.records)
+        return b"stamp-" + self.leaf_id.encode(), body
+
 
 def encode(value: object) -> bytes:
     """Returns a value as JSON."""
