--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -27,6 +27,7 @@
 from snipesaddle._internal.tables.forwarding.requests import (
     EndpointAnswer,
     PartState,
+    RelayOrigin,
     Request,
 )
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
@@ -110,7 +111,11 @@
 
 
 class RelayComposer(Composer):
-    """Gives the node that relayed the parts those that are in at its aim."""
+    """Gives the node that relayed the parts what is in, at most twice.
+
+    Only that node knows what is missing in all, so it is told early what is
+    in, and decides whether to wait for the rest, which follows at the aim.
+    """
 
     def compose(
         self, world: ForwardWorld, request: Request, now_ns: int
@@ -121,16 +126,31 @@
         request.settle_ns = patience.settle_ns(
             request, missing, request.total_parts
         )
-        if request.open_parts and now_ns < request.settle_ns:
-            return None
-        answers = [part.answer for part in request.parts]
-        bodies = [answer.body for answer in answers if answer]
+        if not request.open_parts or now_ns >= request.aim_ns:
+            return self._reply(request, origin, more=False)
+        if now_ns >= request.settle_ns and not request.replied_early:
+            request.replied_early = True
+            if request.answered_parts:
+                world.emit(self._reply(request, origin, more=True))
+        return None
+
+    def _reply(
+        self, request: Request, origin: RelayOrigin, *, more: bool
+    ) -> SendToNode:
+        bodies: list[bytes] = []
+        signatures: list[bytes] = []
+        for part in request.parts:
+            if part.answer is None or part.delivered:
+                signatures.append(b"")
+                continue
+            part.delivered = True
+            bodies.append(part.answer.body)
+            signatures.append(part.answer.signature)
         reply = RelayReply(
             relay_id=origin.relay_id,
             body=merge_records(bodies, request.route.top_k),
-            signatures=tuple(
-                answer.signature if answer else b"" for answer in answers
-            ),
+            signatures=tuple(signatures),
+            more=more,
         )
         return SendToNode(origin.peer_address, reply)
 
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -328,11 +328,13 @@
     def _replied(
         self, world: ForwardWorld, reply: RelayReply, now_ns: int
     ) -> None:
-        relay = world.relays.pop(reply.relay_id, None)
+        relay = world.relays.get(reply.relay_id)
         request = world.requests.get(relay.request_id) if relay else None
         if relay is None or request is None:
             return
-        request.relays.remove(relay.relay_id)
+        if not reply.more:
+            del world.relays[relay.relay_id]
+            request.relays.remove(relay.relay_id)
         world.touched[request.request_id] = None
         body = reply.body
         for index, signature in zip(
@@ -344,9 +346,11 @@
                 _settle(world, request, part, answer, now_ns)
                 # The records of all parts came merged; the first has them.
                 body = b""
+            elif reply.more:
+                continue
             elif relay.is_hedge:
                 _end_hedge(world, request, part)
-            else:
+            elif part.state is not PartState.ANSWERED:
                 self._missing(world, request, index, now_ns)
 
     def _missing(
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -68,17 +68,19 @@
 
 
 class RelayReply(msgspec.Struct, frozen=True, array_like=True):
-    """Gives back the parts gathered.
+    """Gives back the parts gathered since the last reply.
 
     Attributes:
-      body: the greatest records of the parts that are in.
+      body: the greatest records of these parts.
       signatures: the signature of each part asked for; empty when it is not
-        in.
+        in, or was in an earlier reply.
+      more: another reply follows.
     """
 
     relay_id: int
     body: bytes
     signatures: tuple[bytes, ...]
+    more: bool = False
 
 
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True):
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -87,6 +87,7 @@
       failure: the last failure that an endpoint answered with.
       hedge_ns: when a second endpoint is tried; 0 for never.
       hedge_relay: the relay that asks a second endpoint; 0 for none.
+      delivered: its answer went to the node that relayed it.
     """
 
     service: str
@@ -101,6 +102,7 @@
     hedge_ns: int = 0
     hedge_relay: int = 0
     hedged: bool = False
+    delivered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +147,7 @@
       relays: the relays that are not answered yet.
       aim_ns: when an incomplete answer is worth more than a later whole one.
       deadline_ns: when the final answer is due.
+      replied_early: the node that relayed it was sent the parts in so far.
       prepared: the encoded request, kept by the adapter between attempts.
     """
 
@@ -163,6 +166,7 @@
     total_parts: int = 0
     origin: RelayOrigin | None = None
     relays: list[int] = field(default_factory=list)
+    replied_early: bool = False
     prepared: object = None
 
 
--- a/tests/unit/forwarding/test_relays.py
+++ b/tests/unit/forwarding/test_relays.py
@@ -168,6 +168,10 @@
     assert reply == RelayReply(5, body, (b"sig-s0", b"sig-s1"))
 
 
+def replies(ticks: ForwardTicks) -> list[RelayReply]:
+    return [m for m in sent(ticks, RelayReply) if isinstance(m, RelayReply)]
+
+
 def test_sends_back_at_the_aim_what_is_in(ticks: ForwardTicks) -> None:
     ticks.tick(ask_for(("s0", "s1"), aim_left_ms=50))
     ticks.open_all()
@@ -179,6 +183,37 @@
     assert reply.signatures == (b"sig-s0", b"")
 
 
+def test_sends_back_early_what_is_in_and_the_rest_later(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.tick(msgspec.structs.replace(ask_for(("s0", "s1")), total_parts=90))
+    ticks.open_all()
+    first, second = ticks.taken(commands.SendAttempt)
+    ticks.answer(first, record_bytes(7))
+    ticks.advance(90)
+    (early,) = replies(ticks)
+    assert early == RelayReply(5, record_bytes(7), (b"sig-s0", b""), more=True)
+    ticks.answer(second, record_bytes(8))
+    (rest,) = replies(ticks)
+    assert rest == RelayReply(5, record_bytes(8), (b"", b"sig-s1"))
+
+
+def test_takes_in_the_replies_of_a_relay_as_they_come(
+    whole: ForwardTicks,
+) -> None:
+    ask = relayed(whole)
+    for attempt in whole.taken(commands.SendAttempt):
+        whole.answer(attempt, record_bytes(3))
+    early = (b"w", b"x", b"", b"")
+    whole.tick(RelayReply(ask.relay_id, record_bytes(9), early, more=True))
+    assert not whole.taken(commands.MergedAnswer)
+    rest = (b"", b"", b"y", b"z")
+    whole.tick(RelayReply(ask.relay_id, record_bytes(8), rest))
+    (merged,) = whole.taken(commands.MergedAnswer)
+    assert merged.missing == 0
+    assert merged.body == b"".join(map(record_bytes, (9, 8, 3)))
+
+
 def test_stops_gathering_when_cancelled(ticks: ForwardTicks) -> None:
     ticks.tick(ask_for(("s0", "s1")))
     ticks.open_all()
