--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -19,7 +19,6 @@
     FleetNode,
     NodePhase,
     NodeRecord,
-    ThisNode,
 )
 from snipesaddle._internal.tables.forwarding.messages import (
     ConfigShare,
@@ -32,8 +31,6 @@
 
 _BEAT = "beat"
 _NS_PER_S = 1_000_000_000
-# So many heartbeats late, a node is no source of endpoints any more.
-_FRESH_BEATS = 1.6
 _SHARE_GAP_NS = 900 * NS_PER_MS
 # A watch that says nothing for so long, while others see changes, is stuck.
 _BEHIND_NS = 2_500 * NS_PER_MS
@@ -108,22 +105,6 @@
     return frozenset(active)
 
 
-def may_follow(world: ForwardWorld, now_ns: int) -> bool:
-    """Tells whether another node gives this one the endpoints.
-
-    A node that clients are not sent to needs no watch of its own while the
-    active node of its zone that helps it is heard and reaches the store.
-    """
-    if is_active(world) or world.me.phase is not NodePhase.SERVING:
-        return False
-    helper = world.fleet.nodes.get(_helper_of(world, world.me))
-    if helper is None or helper.record.zone != world.me.zone:
-        return False
-    within_ns = int(beat_interval_ns(world) * _FRESH_BEATS)
-    is_fresh = now_ns - helper.heard_ns <= within_ns
-    return is_fresh and helper.record.store_ok
-
-
 def listeners(world: ForwardWorld) -> list[FleetNode]:
     """Returns the nodes that this one sends its heartbeats to.
 
@@ -149,10 +130,10 @@
         world.emit(SendToNode(node.record.peer_address, beat))
 
 
-def _helper_of(world: ForwardWorld, needy: NodeRecord | ThisNode) -> str:
-    """Returns the id of the active node that gives data to one that lacks it.
+def _is_helper(world: ForwardWorld, needy: NodeRecord) -> bool:
+    """Tells whether this node is the one that helps a node that lacks data.
 
-    It is one of the same zone, where there is one: lists are long.
+    One of the same zone helps, where there is one: lists are long.
     """
     zones = {
         node_id: node.record.zone
@@ -162,8 +143,8 @@
     zones[world.me.node_id] = world.me.zone
     zones.pop(needy.node_id, None)
     near = [name for name, zone in zones.items() if zone == needy.zone]
-    ranked = rendezvous.ranked(near or list(zones), needy.node_id, 1)
-    return ranked[0] if ranked else ""
+    helpers = near or list(zones)
+    return world.me.node_id in rendezvous.ranked(helpers, needy.node_id, 1)
 
 
 def refresh_active(world: ForwardWorld, now_ns: int) -> None:
@@ -299,10 +280,8 @@
         behind_ns = now_ns - node.behind_since_ns
         if behind_ns > _LONG_BEHIND_NS:
             return True
-        is_stuck = record.store_ok and not record.follows
-        patience_ns = _BEHIND_NS if is_stuck else 0
-        is_helper = _helper_of(world, record) == world.me.node_id
-        return behind_ns >= patience_ns and is_helper
+        patience_ns = _BEHIND_NS if record.store_ok else 0
+        return behind_ns >= patience_ns and _is_helper(world, record)
 
     def _share(
         self,
--- a/src/snipesaddle/_internal/systems/forwarding/mirroring.py
+++ b/src/snipesaddle/_internal/systems/forwarding/mirroring.py
@@ -29,8 +29,6 @@
 # A waiting watch may be cut by the store without the store being lost.
 _FAILURES_UNTIL_LOST = 2
 _MAX_DOUBLINGS = 6
-# How often a node that is given the endpoints looks whether it still is.
-_FOLLOW_NS = 500 * NS_PER_MS
 
 
 class MirroringSystem(TickSystem[ForwardWorld]):
@@ -49,7 +47,7 @@
             self._failed(world, failed, now_ns)
         for key in world.timers.pop_due(TimerKind.MIRROR, now_ns):
             assert isinstance(key, Range)
-            self._call(world, world.mirrors[key], now_ns)
+            self._call(world, world.mirrors[key])
 
     def _listed(
         self, world: ForwardWorld, event: RangeListed, now_ns: int
@@ -168,26 +166,9 @@
         delay_ms = min(settings.retry_min_ms * 2**doublings, most_ms)
         return int(delay_ms * NS_PER_MS * (0.5 + world.rng.random() / 2))
 
-    def _follows(
-        self, world: ForwardWorld, mirror: Mirror, now_ns: int
-    ) -> bool:
-        """Tells whether a peer makes the next watch of a range needless."""
-        if mirror.range is not Range.ENDPOINTS:
-            return False
-        has_list = mirror.stage is MirrorStage.WATCH
-        world.fleet.follows = has_list and fleet.may_follow(world, now_ns)
-        return world.fleet.follows
-
-    def _call(self, world: ForwardWorld, mirror: Mirror, now_ns: int) -> None:
+    def _call(self, world: ForwardWorld, mirror: Mirror) -> None:
         if mirror.calling:
             return
-        if self._follows(world, mirror, now_ns):
-            self._schedule(world, mirror, now_ns + _FOLLOW_NS)
-            return
-        if mirror.range is Range.ENDPOINTS:
-            # What peers gave meanwhile need not be read again.
-            known = world.endpoints_revision
-            mirror.revision = max(mirror.revision, known)
         mirror.calling = True
         world.counters.store_calls += 1
         settings = world.settings.store
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -38,7 +38,6 @@
         endpoints_revision=world.endpoints_revision,
         sequence=me.sequence,
         attempts_per_s=world.fleet.attempts_per_s,
-        follows=world.fleet.follows,
     )
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -22,8 +22,6 @@
       endpoints_revision: the revision of the last change of an endpoint that
         it knows.
       sequence: grows with each record of one incarnation.
-      follows: it does not watch the endpoints in the store, and is given them
-        by an active node of its zone.
     """
 
     node_id: str
@@ -37,7 +35,6 @@
     endpoints_revision: int = 0
     sequence: int = 0
     attempts_per_s: int = 0
-    follows: bool = False
 
 
 @dataclass(slots=True)
@@ -115,7 +112,6 @@
       attempts_counted: this node's attempts at the last heartbeat.
       beat_ns: when the last heartbeat was sent.
       size_seen: the most nodes known at once lately, this one included.
-      follows: an active node of this zone gives this one the endpoints.
     """
 
     nodes: dict[str, FleetNode] = field(default_factory=dict)
@@ -126,4 +122,3 @@
     beat_ns: int = 0
     size_seen: int = 1
     size_seen_ns: int = 0
-    follows: bool = False
