--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -59,7 +59,7 @@
 
     address: Address
     call_timeout_ms: Positive = 1_000
-    watch_wait_ms: Positive = 15_000
+    watch_wait_ms: Positive = 30_000
     watch_gap_ms: Positive = 300
     idle_gap_ms: Positive = 1_200
     retry_min_ms: Positive = 100
