Keep the parts that a relay gave early when the rest does not come

Cause, found by reading the change before: a relay taken back counted a run for all of its parts, and marked those missing that had come in early; a request could be refused though the rest could still be asked. Also, without change of behaviour: one way to fade what is believed of an endpoint, to drop an attempt's row and to abandon a part's attempts.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -15,7 +15,7 @@
     ConnectionEnded,
     ConnectionOpened,
 )
-from snipesaddle._internal.tables.forwarding.requests import Attempt
+from snipesaddle._internal.tables.forwarding.requests import Attempt, Part
 from snipesaddle._internal.tables.forwarding.world import (
     EndedAttempt,
     ForwardWorld,
@@ -40,6 +40,13 @@
     world.timers.set(TimerKind.ATTEMPT, attempt_id, now_ns + _ABANDONED_NS)
 
 
+def abandon_all(world: ForwardWorld, part: Part, now_ns: int) -> None:
+    """Lets the attempts of a part that is answered run out."""
+    for attempt_id in part.attempts:
+        abandon(world, attempt_id, now_ns)
+    part.attempts.clear()
+
+
 def cancel(world: ForwardWorld, attempt_id: int, now_ns: int) -> None:
     """Ends an attempt at once, by closing its connection."""
     attempt = world.attempts.get(attempt_id)
@@ -54,12 +61,10 @@
 
 def _drop_given_up(world: ForwardWorld, attempt: Attempt, now_ns: int) -> None:
     """Removes the row of an attempt whose end was not waited for."""
-    world.attempts.pop(attempt.attempt_id, None)
-    world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
+    _drop_ended(world, attempt)
     endpoint = world.endpoints.get(attempt.endpoint_id)
     if endpoint is None:
         return
-    endpoint.in_flight -= 1
     if attempt.sent_ns:
         standing.check_silence(world, endpoint, attempt.route_name, now_ns)
     elif now_ns - attempt.chosen_ns > _CONNECT_NS:
--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -114,9 +114,7 @@
         request.open_parts -= 1
         request.answered_parts += 1
         world.touched[request.request_id] = None
-        for attempt_id in part.attempts:
-            attempts.abandon(world, attempt_id, now_ns)
-        part.attempts.clear()
+        attempts.abandon_all(world, part, now_ns)
 
     def _failed(
         self,
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -248,12 +248,18 @@
         part = request.parts[index]
         if relay.is_hedge:
             _end_hedge(world, request, part)
-            continue
-        if may_have_run:
-            _count_run(world, request, part)
-        if part.state is PartState.RELAYED:
-            part.state = PartState.PENDING
-            world.pending.append((request.request_id, index))
+        elif part.state is PartState.RELAYED:
+            if may_have_run:
+                _count_run(world, request, part)
+            _ask_here(world, request, index)
+
+
+def _ask_here(world: ForwardWorld, request: Request, index: int) -> None:
+    """Lets this node ask for a part that a relay did not give."""
+    part = request.parts[index]
+    if part.state is PartState.RELAYED:
+        part.state = PartState.PENDING
+        world.pending.append((request.request_id, index))
 
 
 def _end_hedge(world: ForwardWorld, request: Request, part: Part) -> None:
@@ -276,7 +282,6 @@
     pool = world.pools.get(part.service)
     endpoints = len(pool.endpoints) if pool else 0
     if endpoints > request.route.max_attempts:
-        part.cause = MissingCause.RELAY
         placement.mark_missing(world, request, part, MissingCause.RELAY)
 
 
@@ -350,7 +355,7 @@
                 continue
             elif relay.is_hedge:
                 _end_hedge(world, request, part)
-            elif part.state is not PartState.ANSWERED:
+            elif part.state is PartState.RELAYED:
                 self._missing(world, request, index, now_ns)
 
     def _missing(
@@ -363,8 +368,7 @@
         if now_ns < request.aim_ns - _RETURN_MS * NS_PER_MS:
             placement.mark_missing(world, request, part, MissingCause.RELAY)
             return
-        part.state = PartState.PENDING
-        world.pending.append((request.request_id, index))
+        _ask_here(world, request, index)
 
 
 def _settle(
@@ -388,6 +392,4 @@
     part.state = PartState.ANSWERED
     part.answer = answer
     part.hedge_relay = 0
-    for attempt_id in part.attempts:
-        attempts.abandon(world, attempt_id, now_ns)
-    part.attempts.clear()
+    attempts.abandon_all(world, part, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/standing.py
+++ b/src/snipesaddle/_internal/systems/forwarding/standing.py
@@ -14,7 +14,7 @@
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 _SLOWNESS_WEIGHT = 0.3
-_SLOWNESS_HALF_LIFE_NS = 2_000 * NS_PER_MS
+_HALF_LIFE_NS = 2_000 * NS_PER_MS
 _SLOWNESS_MAX = 20.0
 _SILENT_NS = 400 * NS_PER_MS
 _SILENT_FACTOR = 5.0
@@ -22,7 +22,6 @@
 _EJECT_MAX_NS = 2_000 * NS_PER_MS
 _MAX_DOUBLINGS = 4
 _ERROR_WEIGHT = 0.25
-_ERROR_HALF_LIFE_NS = 2_000 * NS_PER_MS
 _ERROR_COST = 8.0
 _SHED_NS = 40 * NS_PER_MS
 _UNKNOWN_LATENCY_NS = 20.0 * NS_PER_MS
@@ -106,16 +105,19 @@
 
 def slowness(endpoint: Endpoint, now_ns: int) -> float:
     """Returns the slowness as far as it is still believed."""
-    age_ns = now_ns - endpoint.slowness_at_ns
-    faded: float = 0.5 ** (age_ns / _SLOWNESS_HALF_LIFE_NS)
-    return 1.0 + (endpoint.slowness - 1.0) * faded
+    left = _left_after(now_ns - endpoint.slowness_at_ns)
+    return 1.0 + (endpoint.slowness - 1.0) * left
 
 
 def error_rate(endpoint: Endpoint, now_ns: int) -> float:
     """Returns the share of failed answers as far as it is still believed."""
-    age_ns = now_ns - endpoint.error_at_ns
-    faded: float = 0.5 ** (age_ns / _ERROR_HALF_LIFE_NS)
-    return endpoint.error_rate * faded
+    return endpoint.error_rate * _left_after(now_ns - endpoint.error_at_ns)
+
+
+def _left_after(age_ns: int) -> float:
+    """Returns the share of an observation that is still believed."""
+    left: float = 0.5 ** (age_ns / _HALF_LIFE_NS)
+    return left
 
 
 def is_usable(endpoint: Endpoint, now_ns: int) -> bool:
--- a/tests/unit/forwarding/test_relays.py
+++ b/tests/unit/forwarding/test_relays.py
@@ -17,6 +17,7 @@
     RelayCancel,
     RelayReply,
 )
+from snipesaddle._internal.tables.forwarding.mirrors import Range
 from snipesaddle._internal.tables.forwarding.requests import (
     Attempt,
     EndpointAnswer,
@@ -129,6 +130,28 @@
     assert not sent(ticks, RelayAsk)
 
 
+def test_keeps_the_parts_in_when_the_rest_of_a_relay_does_not_come(
+    whole: ForwardTicks,
+) -> None:
+    for service in ("s4", "s5"):
+        for number in range(2):
+            more = entry(f"{service}+{number}", service, zone="b")
+            whole.change(Range.ENDPOINTS, more.endpoint_id, more)
+    ask = relayed(whole)
+    for attempt in whole.taken(commands.SendAttempt):
+        whole.answer(attempt)
+    early = (b"w", b"x", b"", b"")
+    whole.tick(RelayReply(ask.relay_id, record_bytes(9), early, more=True))
+    whole.advance(125)
+    whole.open_all()
+    asked_again = whole.taken(commands.SendAttempt)
+    assert {a.endpoint_id for a in asked_again} == {"s6", "s7"}
+    for attempt in asked_again:
+        whole.answer(attempt)
+    (merged,) = whole.taken(commands.MergedAnswer)
+    assert merged.missing == 0
+
+
 def test_cancels_the_relay_of_a_client_that_left(ticks: ForwardTicks) -> None:
     ask = relayed(ticks)
     ticks.tick(events.ClientGone(1))
