Bound the responses of servers, and trust no answer without an id on a reused connection

And a response without a request id was taken for the outstanding one, also on a reused connection, where it could be a late second copy of the answer before it.

Change: the parser moved to http1/response_reader.py, which bounds the head with interim responses, chunk headers and trailers, and the body; the sum over all connections is bounded, and the connection that holds most is given up. Settings: section responses. Crossing a limit loses the attempt, which may have run. A response without an id counts only on a new connection, which then carries no second request.

--- a/src/snipesaddle/_internal/adapters/http1/client.py
+++ b/src/snipesaddle/_internal/adapters/http1/client.py
@@ -2,29 +2,15 @@
 
 import abc
 import asyncio
-from dataclasses import dataclass
 from typing import cast
 
-import httptools
-
 from snipesaddle._internal.adapters import tcp_keepalive
-from snipesaddle._internal.adapters.http1.headers import Headers, find_header
-
-_NO_BODY_STATUSES = frozenset({204, 304})
-
-
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
-    """A complete response."""
-
-    status: int
-    reason: bytes
-    headers: Headers
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        """Returns the first value of a header; `name` is in lower case."""
-        return find_header(self.headers, name)
+from snipesaddle._internal.adapters.http1.receive_budget import ReceiveBudget
+from snipesaddle._internal.adapters.http1.response_reader import (
+    HttpResponse,
+    ResponseReader,
+)
+from snipesaddle._internal.models.forwarding import ResponseSettings
 
 
 class ResponseListener(abc.ABC):
@@ -59,29 +45,46 @@
         """Handles a connection that was lost or failed, with the cause."""
 
 
+class ResponseIntake:
+    """The limits that all connections to servers of one kind share.
+
+    Attributes:
+      settings: the limits on each response.
+      budget: the limit on the incomplete responses together.
+    """
+
+    def __init__(self, settings: ResponseSettings) -> None:
+        self.settings = settings
+        self.budget = ReceiveBudget(settings.max_buffered_bytes)
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to a server.
 
     Bytes after a complete response, or a response to another request, make it
-    unusable for further requests: its responses could be matched wrongly.
+    unusable for further requests: its responses could be matched wrongly. A
+    response over a limit ends it.
+
+    Attributes:
+      requests_sent: the number of requests written to it.
     """
 
-    def __init__(self, connection_id: int, listener: ResponseListener) -> None:
+    def __init__(
+        self,
+        connection_id: int,
+        listener: ResponseListener,
+        intake: ResponseIntake,
+    ) -> None:
         self.connection_id = connection_id
+        self.requests_sent = 0
         self._listener = listener
+        self._budget = intake.budget
+        self._reader = ResponseReader(intake.settings)
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
         self._busy = False
-        self._is_head_request = False
         self._desynchronized = False
         self._closed = False
-        self._responses: list[tuple[HttpResponse, bool]] = []
-        self._in_message = False
-        self._headers_done = False
-        self._has_known_length = False
-        self._reason = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._held_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -97,13 +100,15 @@
     def send(self, data: bytes, is_head_request: bool = False) -> None:
         """Writes an encoded request; does nothing if the connection is lost."""
         self._busy = True
-        self._is_head_request = is_head_request
+        self.requests_sent += 1
+        self._reader.start_request(is_head_request)
         if self._transport is not None:
             self._transport.write(data)
 
     def close(self) -> None:
         """Aborts the connection; the listener is not called any more."""
         self._closed = True
+        self._release_budget()
         if self._transport is not None:
             self._transport.abort()
 
@@ -120,88 +125,59 @@
         self._notify_closed(str(exc) if exc else "closed by the server")
 
     def eof_received(self) -> bool:
-        if self._busy and self._headers_done and not self._has_known_length:
-            self._finish_message(keep_alive=False)
+        if self._busy:
+            self._reader.feed_eof()
             self._deliver()
         return False
 
     def data_received(self, data: bytes) -> None:
+        if self._closed:
+            return
         if not self._busy:
             self._fail("unexpected bytes")
             return
-        malformed = False
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            malformed = self._desynchronized = True
+        self._reader.feed(data)
+        if self._reader.failure:
+            self._desynchronized = True
         self._deliver()
-        if malformed and self._busy:
-            self._fail("malformed response")
-
-    # Callbacks of the httptools parser.
-
-    def on_message_begin(self) -> None:
-        self._in_message = True
-        self._headers_done = False
-        self._has_known_length = False
-        self._reason = b""
-        self._headers = []
-        self._body = []
-
-    def on_status(self, status: bytes) -> None:
-        self._reason += status
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headers_done:
+        if self._reader.failure and self._busy:
+            self._fail(self._reader.failure)
             return
-        self._headers.append((name, value))
-        lower = name.lower()
-        chunked = lower == b"transfer-encoding" and b"chunked" in value.lower()
-        if chunked or lower == b"content-length":
-            self._has_known_length = True
-
-    def on_headers_complete(self) -> None:
-        self._headers_done = True
-        if self._parser.get_status_code() in _NO_BODY_STATUSES:
-            self._has_known_length = True
-        if self._is_head_request:
-            self._finish_message(keep_alive=False)
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        if self._in_message:
-            self._finish_message(self._parser.should_keep_alive())
-
-    def _finish_message(self, keep_alive: bool) -> None:
-        self._in_message = False
-        self._headers_done = False
-        status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        self._update_budget()
+
+    def _update_budget(self) -> None:
+        held_bytes = self._reader.buffered_bytes
+        if held_bytes == self._held_bytes:
             return
-        response = HttpResponse(
-            status, self._reason, tuple(self._headers), b"".join(self._body)
-        )
-        self._responses.append((response, keep_alive))
+        self._held_bytes = held_bytes
+        largest = self._budget.update(self, held_bytes)
+        if isinstance(largest, ClientConnection):
+            largest._fail("incomplete responses over the limit")
+
+    def _release_budget(self) -> None:
+        if self._held_bytes:
+            self._held_bytes = 0
+            self._budget.update(self, 0)
 
     def _deliver(self) -> None:
-        responses, self._responses = self._responses, []
-        for position, (response, server_keeps_open) in enumerate(responses):
-            if not self._listener.matches_request(self, response):
+        responses = self._reader.take()
+        for position, received in enumerate(responses):
+            if not self._listener.matches_request(self, received.response):
                 self._desynchronized = True
                 continue
             is_last = position == len(responses) - 1
             is_synchronized = (
-                is_last and not self._in_message and not self._desynchronized
+                is_last
+                and not self._reader.in_message
+                and not self._desynchronized
             )
             self._busy = False
             reusable = (
                 is_synchronized
-                and server_keeps_open
+                and received.keep_alive
                 and self._is_write_buffer_empty()
             )
-            self._listener.on_response(self, response, reusable)
+            self._listener.on_response(self, received.response, reusable)
             return
 
     def _is_write_buffer_empty(self) -> bool:
@@ -219,6 +195,7 @@
             return
         self._closed = True
         self._busy = False
+        self._release_budget()
         self._listener.on_closed(self, detail)
 
 
--- a/src/snipesaddle/_internal/adapters/http1/pooled_client.py
+++ b/src/snipesaddle/_internal/adapters/http1/pooled_client.py
@@ -5,10 +5,12 @@
 
 from snipesaddle._internal.adapters.http1.client import (
     ClientConnection,
-    HttpResponse,
+    ResponseIntake,
     ResponseListener,
     connect,
 )
+from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
+from snipesaddle._internal.models.forwarding import ResponseSettings
 
 
 class CallFailedError(Exception):
@@ -22,8 +24,9 @@
       idle: the connections that can carry a call.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, settings: ResponseSettings) -> None:
         self.address = address
+        self._intake = ResponseIntake(settings)
         self._ids = itertools.count(1)
         self.idle: list[ClientConnection] = []
         self._pending: dict[int, asyncio.Future[HttpResponse]] = {}
@@ -105,7 +108,7 @@
     async def _acquire(self, timeout_s: float) -> ClientConnection:
         if self.idle:
             return self.idle.pop()
-        connection = ClientConnection(next(self._ids), self)
+        connection = ClientConnection(next(self._ids), self, self._intake)
         await connect(
             self.address, connection, timeout_s, enable_keepalive=True
         )
--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -129,6 +129,23 @@
     window_s: Positive = 10
 
 
+class ResponseSettings(Model, frozen=True, kw_only=True):
+    """Limits on the responses of endpoints, and on those of the store.
+
+    A response over a limit is lost: its request may have run.
+
+    Attributes:
+      max_head_bytes: status line, headers, interim responses, chunk headers and
+        trailers of one response.
+      max_body_bytes: body of one response.
+      max_buffered_bytes: incomplete responses on all connections together.
+    """
+
+    max_head_bytes: Positive = 65_536
+    max_body_bytes: Positive = 16_777_216
+    max_buffered_bytes: Positive = 67_108_864
+
+
 class DrainSettings(Model, frozen=True, kw_only=True):
     """The drain of a leaving node.
 
@@ -147,6 +164,7 @@
     fleet: FleetSettings = FleetSettings()
     directory: DirectorySettings = DirectorySettings()
     retries: RetrySettings = RetrySettings()
+    responses: ResponseSettings = ResponseSettings()
     drain: DrainSettings = DrainSettings()
     event_loop: str = "uvloop"
     seed: int | None = None
--- a/src/snipesaddle/platform/endpoints.py
+++ b/src/snipesaddle/platform/endpoints.py
@@ -2,10 +2,12 @@
 
 from snipesaddle._internal.adapters.http1.client import (
     ClientConnection,
-    HttpResponse,
+    ResponseIntake,
     ResponseListener,
     connect,
 )
+from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
+from snipesaddle._internal.models.forwarding import ResponseSettings
 from snipesaddle._internal.ports.forwarding import EndpointTransport
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.requests import (
@@ -28,14 +30,15 @@
     Results are put into the inbox as events.
     """
 
-    def __init__(self, inbox: Inbox) -> None:
+    def __init__(self, inbox: Inbox, settings: ResponseSettings) -> None:
         self._inbox = inbox
+        self._intake = ResponseIntake(settings)
         self._connections: dict[int, ClientConnection] = {}
         self._attempts: dict[int, tuple[int, bytes]] = {}
 
     async def open(self, command: commands.OpenConnection) -> None:
         """Opens a connection; the result is an event."""
-        connection = ClientConnection(command.connection_id, self)
+        connection = ClientConnection(command.connection_id, self, self._intake)
         self._connections[command.connection_id] = connection
         try:
             await connect(command.address, connection, _CONNECT_TIMEOUT_S)
@@ -74,13 +77,17 @@
     ) -> bool:
         """Returns whether a response belongs to the outstanding attempt.
 
-        A response without a request id is taken to belong to it.
+        A response without a request id belongs to it only if nothing was sent
+        on the connection before. On a reused connection it could be a late
+        second copy of an earlier response.
         """
         attempt = self._attempts.get(connection.connection_id)
+        if attempt is None:
+            return False
         request_id = response.header(names.REQUEST_ID)
-        return attempt is not None and (
-            request_id is None or request_id == attempt[1]
-        )
+        if request_id is None:
+            return connection.requests_sent == 1
+        return request_id == attempt[1]
 
     def on_response(
         self,
@@ -90,12 +97,15 @@
     ) -> None:
         """Puts an event for the answered attempt."""
         attempt_id, _ = self._attempts.pop(connection.connection_id)
+        # A late copy of a response without an id could not be told from the
+        # next response.
+        has_id = response.header(names.REQUEST_ID) is not None
         self._inbox.put(
             events.AttemptAnswered(
                 connection_id=connection.connection_id,
                 attempt_id=attempt_id,
                 answer=_decode(response),
-                reusable=reusable,
+                reusable=reusable and has_id,
                 keep_alive_ms=_keep_alive_ms(response),
             )
         )
--- a/src/snipesaddle/platform/entry.py
+++ b/src/snipesaddle/platform/entry.py
@@ -26,14 +26,14 @@
         node = ForwardNode(settings, path, stack)
         frontend = PlatformFrontend(node.inbox, node.now_ns)
         stack.callback(frontend.stop)
-        store = PlatformStore(settings.store.address)
+        store = PlatformStore(settings.store.address, settings.responses)
         stack.callback(store.close)
         await frontend.start(
             settings.node.front,
             settings.node.directory,
             settings.node.readiness,
         )
-        endpoints = PlatformEndpointTransport(node.inbox)
+        endpoints = PlatformEndpointTransport(node.inbox, settings.responses)
         await node.run(endpoints, frontend, store)
 
 
--- a/src/snipesaddle/platform/store.py
+++ b/src/snipesaddle/platform/store.py
@@ -6,11 +6,12 @@
 
 import msgspec
 
-from snipesaddle._internal.adapters.http1.client import HttpResponse
 from snipesaddle._internal.adapters.http1.pooled_client import (
     CallFailedError,
     PooledHttpClient,
 )
+from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
+from snipesaddle._internal.models.forwarding import ResponseSettings
 from snipesaddle._internal.ports.forwarding import RangeStore
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.routes import RouteConfig
@@ -84,8 +85,9 @@
     Failures are returned as events, not raised.
     """
 
-    def __init__(self, address: str) -> None:
-        self._client = PooledHttpClient(address)
+    def __init__(self, address: str, settings: ResponseSettings) -> None:
+        self._settings = settings
+        self._client = PooledHttpClient(address, settings)
 
     async def list(
         self, command: commands.ListRange
@@ -191,7 +193,7 @@
         """Sends later calls to another address; calls in flight fail."""
         if address != self._client.address:
             self._client.close()
-            self._client = PooledHttpClient(address)
+            self._client = PooledHttpClient(address, self._settings)
 
     def close(self) -> None:
         """Closes the connections."""
--- /dev/null
+++ b/tests/functional/test_endless_responses.py
@@ -0,0 +1,226 @@
+"""Servers that send without end, or send a second copy of an answer late."""
+
+import asyncio
+
+import anyio
+import pytest
+from standins.forwarding import ForwardTicks, entry, pass_route
+
+from snipesaddle._internal.adapters.http1.client import (
+    ClientConnection,
+    ResponseIntake,
+    ResponseListener,
+    connect,
+)
+from snipesaddle._internal.adapters.http1.receive_budget import ReceiveBudget
+from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
+from snipesaddle._internal.models.forwarding import ResponseSettings
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.inbox import Inbox
+from snipesaddle.platform.endpoints import PlatformEndpointTransport
+from tests.standins.fleet import free_ports
+
+pytestmark = pytest.mark.anyio
+
+LIMITS = ResponseSettings(
+    max_head_bytes=10_000, max_body_bytes=100_000, max_buffered_bytes=150_000
+)
+# What one read of the event loop may add before a limit is checked.
+READ_BYTES = 300_000
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Listener(ResponseListener):
+    """Counts responses and records why the connection ended."""
+
+    def __init__(self) -> None:
+        self.responses = 0
+        self.ends: list[str] = []
+
+    def matches_request(
+        self, connection: ClientConnection, response: HttpResponse
+    ) -> bool:
+        return True
+
+    def on_response(
+        self,
+        connection: ClientConnection,
+        response: HttpResponse,
+        reusable: bool,
+    ) -> None:
+        self.responses += 1
+
+    def on_closed(self, connection: ClientConnection, detail: str) -> None:
+        self.ends.append(detail)
+
+
+class EndlessServer:
+    """Sends a start and then one piece over and over, until it is cut off."""
+
+    def __init__(self, start: bytes, piece: bytes) -> None:
+        self._start = start
+        self._piece = piece
+        self.sent_bytes = 0
+        self.address = ""
+
+    async def listen(self) -> str:
+        port = free_ports(1)
+        await asyncio.start_server(self._serve, "127.0.0.1", port)
+        return f"127.0.0.1:{port}"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._start)
+        try:
+            while True:
+                writer.write(self._piece)
+                await writer.drain()
+                self.sent_bytes += len(self._piece)
+        except ConnectionError:
+            writer.close()
+
+
+async def ended(listener: Listener) -> None:
+    with anyio.fail_after(5):
+        while not listener.ends:
+            await anyio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"HTTP/1.1 200 ", b"O" * 1_000),
+        (OK + b"X: ", b"y" * 1_000),
+        (OK, b"X: y\r\n" * 200),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+        (OK + b"\r\n", b"z" * 1_000),
+        (OK + b"Content-Length: 999999999999999\r\n\r\n", b"z" * 1_000),
+        (OK + b"Content-Length: " + b"9" * 30 + b"\r\n\r\n", b"z" * 1_000),
+        (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nz\r\n" * 200),
+        (OK + b"Transfer-Encoding: chunked\r\n\r\n1;", b"e=f;" * 250),
+        (
+            OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X: y\r\n" * 200,
+        ),
+    ],
+    ids=[
+        "reason",
+        "one-header",
+        "many-headers",
+        "interim-responses",
+        "body-without-length",
+        "long-body",
+        "absurd-length",
+        "chunks",
+        "chunk-extensions",
+        "trailers",
+    ],
+)
+async def test_bytes_without_end_end_the_connection(
+    start: bytes, piece: bytes
+) -> None:
+    server = EndlessServer(start, piece)
+    listener = Listener()
+    connection = ClientConnection(1, listener, ResponseIntake(LIMITS))
+    await connect(await server.listen(), connection, 1)
+    connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    await ended(listener)
+    assert not listener.responses
+    sent_bytes = server.sent_bytes
+    await anyio.sleep(0.2)
+    assert server.sent_bytes - sent_bytes < READ_BYTES
+
+
+async def test_many_servers_at_once_stay_within_the_sum() -> None:
+    slow = EndlessServer(OK + b"Content-Length: 90000\r\n\r\n", b"z" * 80_000)
+    address = await slow.listen()
+    intake = ResponseIntake(LIMITS)
+    listeners = [Listener() for _ in range(5)]
+    for number, listener in enumerate(listeners):
+        connection = ClientConnection(number, listener, intake)
+        await connect(address, connection, 1)
+        connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    with anyio.fail_after(5):
+        while not all(one.responses or one.ends for one in listeners):
+            await anyio.sleep(0.01)
+    assert any(listener.responses for listener in listeners)
+
+
+def test_the_connection_that_holds_most_is_given_up() -> None:
+    budget = ReceiveBudget(100)
+    assert budget.update("a", 70) is None
+    assert budget.update("b", 20) is None
+    assert budget.update("b", 40) == "a"
+    assert budget.update("a", 0) is None
+    assert budget.update("c", 60) is None
+
+
+FIRST_COPY = OK + b"Content-Length: 1\r\n%bServer-Stamp: s1\r\n\r\n1"
+
+
+async def answered_twice(id_line: bytes, second_id_line: bytes) -> list[object]:
+    """Sends two requests on one connection to a server that repeats itself.
+
+    Its second response is followed at once by nothing but a late copy of the
+    first one, sent when the second request is outstanding.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(FIRST_COPY % id_line)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(FIRST_COPY % second_id_line)
+        await asyncio.sleep(0.1)
+        writer.close()
+
+    port = free_ports(1)
+    await asyncio.start_server(serve, "127.0.0.1", port)
+    inbox = Inbox()
+    transport = PlatformEndpointTransport(inbox, LIMITS)
+    ticks = ForwardTicks([pass_route()], [entry("f1", "file")])
+    taken: list[object] = []
+    await transport.open(commands.OpenConnection(1, f"127.0.0.1:{port}"))
+    for client_request_id in (b"r1", b"r2"):
+        ticks.ask(b"/file/1", client_request_id=client_request_id)
+        (attempt,) = ticks.taken(commands.SendAttempt)
+        transport.send(
+            commands.SendAttempt(
+                1, attempt.attempt_id, "f1", attempt.request, 500
+            )
+        )
+        await anyio.sleep(0.05)
+        taken.extend(inbox.take(events.AttemptAnswered))
+    await anyio.sleep(0.2)
+    taken.extend(inbox.take(events.ConnectionEnded))
+    return taken
+
+
+async def test_a_late_second_copy_answers_no_other_request() -> None:
+    id_line = b"Request-Id: r1\r\n"
+    first, second = await answered_twice(id_line, id_line)
+    assert isinstance(first, events.AttemptAnswered)
+    assert isinstance(second, events.ConnectionEnded)
+
+
+async def test_a_late_second_copy_without_an_id_answers_no_other_request() -> (
+    None
+):
+    first, second = await answered_twice(b"Request-Id: r1\r\n", b"")
+    assert isinstance(first, events.AttemptAnswered)
+    assert isinstance(second, events.ConnectionEnded)
+
+
+async def test_a_connection_whose_answers_have_no_id_is_not_reused() -> None:
+    first, second = await answered_twice(b"", b"")
+    assert isinstance(first, events.AttemptAnswered)
+    assert not first.reusable
+    assert isinstance(second, events.ConnectionEnded)
--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -12,7 +12,7 @@
 from snipesaddle._internal.adapters import tcp_keepalive
 from snipesaddle._internal.adapters.http1.client import (
     ClientConnection,
-    HttpResponse,
+    ResponseIntake,
     ResponseListener,
     connect,
 )
@@ -20,6 +20,7 @@
     CallFailedError,
     PooledHttpClient,
 )
+from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
 from snipesaddle._internal.adapters.http1.server import (
     HttpRequest,
     HttpServer,
@@ -27,10 +28,15 @@
     ServerLimits,
 )
 from snipesaddle._internal.adapters.zmq_peer import ZmqPeerTransport
+from snipesaddle._internal.models.forwarding import ResponseSettings
 from tests.standins.fleet import free_ports
 
 pytestmark = pytest.mark.anyio
 
+LIMITS = ResponseSettings(
+    max_head_bytes=10_000, max_body_bytes=100_000, max_buffered_bytes=150_000
+)
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -115,7 +121,7 @@
 async def listened(address: str, wanted: bytes = b"") -> Listener:
     listener = Listener()
     listener.wanted = wanted
-    connection = ClientConnection(1, listener)
+    connection = ClientConnection(1, listener, ResponseIntake(LIMITS))
     await connect(address, connection, 1)
     connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
     with anyio.move_on_after(2):
@@ -126,7 +132,7 @@
 
 async def test_calls_that_share_connections_lose_no_response() -> None:
     echo = Echo()
-    client = PooledHttpClient(await started(echo))
+    client = PooledHttpClient(await started(echo), LIMITS)
     failures: list[Exception] = []
 
     async def call_often(number: int) -> None:
@@ -148,7 +154,7 @@
 
 async def test_a_call_without_a_response_fails_in_time() -> None:
     echo = Echo(answering=False)
-    client = PooledHttpClient(await started(echo))
+    client = PooledHttpClient(await started(echo), LIMITS)
     with pytest.raises(CallFailedError):
         await client.call("GET", "/", b"", 0.1)
     await anyio.sleep(0.05)
@@ -298,7 +304,7 @@
     echo = Echo()
     address = f"127.0.0.1:{port}"
     await echo.server.start(address)
-    connection = ClientConnection(1, Listener())
+    connection = ClientConnection(1, Listener(), ResponseIntake(LIMITS))
     await connect(address, connection, 1.0, enable_keepalive=enable_keepalive)
     assert (
         connection.socket_option(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
@@ -313,7 +319,7 @@
     echo = Echo()
     address = f"127.0.0.1:{port}"
     await echo.server.start(address)
-    client = PooledHttpClient(address)
+    client = PooledHttpClient(address, LIMITS)
     await client.call("GET", "/", b"", 1.0)
     (connection,) = client.idle
     assert connection.socket_option(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
@@ -326,7 +332,7 @@
     echo = Echo(answering=False)
     address = f"127.0.0.1:{port}"
     await echo.server.start(address)
-    client = PooledHttpClient(address)
+    client = PooledHttpClient(address, LIMITS)
     call = asyncio.ensure_future(client.call("GET", "/", b"", 5.0))
     with anyio.fail_after(2):
         while not echo.requests:
