Contain unexpected errors to the work that they belong to

Cause: an error in a system of the forwarding tier lost the commands and events of its tick and set no timer; a call that failed outside its known errors posted no event, so that a range or the presence record was never called again; a registration with a port above 65535 left its connection opening for ever; an error while a peer's message was handled ended the task that receives all messages; a route without services raised an error for each request.

Change: systems handle each event by containment.run_each, which counts and logs the error and fails the request that it belongs to; the schedule contains the rest of a system, the dispatcher each command and call; every started call ends in an event; addresses are checked where they are decoded.

--- a/src/snipesaddle/_internal/adapters/zmq_peer.py
+++ b/src/snipesaddle/_internal/adapters/zmq_peer.py
@@ -54,6 +54,9 @@
             )
         except zmq.Again:
             return 0
+        except zmq.ZMQError as error:
+            logging.warning("cannot send to %s: %s", peer_address, error)
+            return 0
         return len(name) + len(body)
 
     def disconnect(self, peer_address: str) -> None:
@@ -83,7 +86,11 @@
             socket.setsockopt(zmq.SNDHWM, _SEND_QUEUE_MESSAGES)
             socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_INTERVAL_MS)
             tcp_keepalive.enable_zmq(socket)
-            socket.connect(f"tcp://{peer_address}")
+            try:
+                socket.connect(f"tcp://{peer_address}")
+            except zmq.ZMQError:
+                socket.close(linger=0)
+                raise
             self._push_sockets[peer_address] = socket
         return socket
 
@@ -102,7 +109,11 @@
             return
         try:
             message = decoder.decode(frames[1])
-        except msgspec.MsgspecError as error:
+        except (ValueError, RecursionError) as error:
             logging.warning("dropped a malformed peer message: %s", error)
             return
-        deliver(message)
+        try:
+            deliver(message)
+        except Exception:
+            # An error here would end the task that receives all messages.
+            logging.exception("a peer message could not be delivered")
--- a/src/snipesaddle/_internal/daemon/forward_dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/forward_dispatcher.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from absl import logging
+
 from snipesaddle._internal.metrics.decision_log import DecisionLog
 from snipesaddle._internal.metrics.outcomes import OutcomeHistograms
 from snipesaddle._internal.ports.forwarding import (
@@ -51,7 +53,7 @@
         self.stopped = asyncio.Event()
         frontend = ports.frontend
         store = ports.store
-        self._handlers: dict[type, Callable[[Any], None]] = {
+        self._handlers: dict[type, Callable[[Any], object]] = {
             commands.SendAttempt: ports.endpoints.send,
             commands.OpenConnection: self._open,
             commands.CloseConnection: self._close,
@@ -62,12 +64,12 @@
             commands.SetReadiness: lambda c: frontend.set_readiness(c.ready),
             commands.SetClientLimits: lambda c: frontend.set_limits(c.limits),
             commands.CloseIdleClients: lambda _: frontend.close_idle(),
-            commands.ListRange: lambda c: self._start_and_post(store.list(c)),
-            commands.WatchRange: lambda c: self._start_and_post(store.watch(c)),
-            commands.WritePresence: lambda c: self._start_and_post(
+            commands.ListRange: lambda c: self._call_range(c, store.list(c)),
+            commands.WatchRange: lambda c: self._call_range(c, store.watch(c)),
+            commands.WritePresence: lambda c: self._call_presence(
                 store.write_presence(c)
             ),
-            commands.RenewPresence: lambda c: self._start_and_post(
+            commands.RenewPresence: lambda c: self._call_presence(
                 store.renew_presence(c)
             ),
             commands.RemovePresence: lambda c: self._start_task(
@@ -84,26 +86,73 @@
 
     def dispatch(self, command: commands.Command) -> None:
         """Executes one command, or starts the task that executes it."""
-        self._handlers[type(command)](command)
+        try:
+            self._handlers[type(command)](command)
+        except Exception:
+            # The other commands of the tick do not depend on this one.
+            self._world.counters.unexpected_errors += 1
+            logging.exception("cannot execute %s", type(command).__name__)
 
     def cancel(self) -> None:
         """Cancels the tasks that are still running."""
         for task in self._tasks:
             task.cancel()
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _start_task(
+        self, coroutine: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _start_and_post(
+        self,
+        coroutine: Coroutine[Any, Any, object],
+        failure: Callable[[str], object],
+    ) -> asyncio.Task[None]:
+        """Starts a task that ends in an event, also after an unknown error."""
 
-    def _start_and_post(self, coroutine: Coroutine[Any, Any, object]) -> None:
         async def run() -> None:
-            self._world.inbox.put(await coroutine)
+            try:
+                event = await coroutine
+            except Exception as error:
+                self._world.counters.unexpected_errors += 1
+                logging.exception("a call failed unexpectedly")
+                event = failure(repr(error))
+            self._world.inbox.put(event)
+
+        return self._start_task(run())
+
+    def _call_range(
+        self,
+        command: commands.ListRange | commands.WatchRange,
+        coroutine: Coroutine[Any, Any, object],
+    ) -> None:
+        self._start_and_post(
+            coroutine,
+            lambda detail: events.RangeFailed(command.range, False, detail),
+        )
 
-        self._start_task(run())
+    def _call_presence(self, coroutine: Coroutine[Any, Any, object]) -> None:
+        self._start_and_post(
+            coroutine, lambda detail: events.PresenceFailed(False, detail)
+        )
 
     def _open(self, command: commands.OpenConnection) -> None:
-        self._start_task(self._ports.endpoints.open(command))
+        self._start_task(self._open_connection(command))
+
+    async def _open_connection(self, command: commands.OpenConnection) -> None:
+        try:
+            await self._ports.endpoints.open(command)
+        except Exception as error:
+            self._world.counters.unexpected_errors += 1
+            logging.exception("cannot connect to %s", command.address)
+            self._ports.endpoints.close(command.connection_id)
+            ended = events.ConnectionEnded(
+                command.connection_id, False, repr(error)
+            )
+            self._world.inbox.put(ended)
 
     def _close(self, command: commands.CloseConnection) -> None:
         self._ports.endpoints.close(command.connection_id)
--- a/src/snipesaddle/_internal/daemon/forward_loop.py
+++ b/src/snipesaddle/_internal/daemon/forward_loop.py
@@ -46,10 +46,12 @@
 
     def _tick(self) -> None:
         self._tick_scheduled = False
-        for command in self._schedule.tick(self._world, now_ns()):
-            self._dispatch(command)
-        if not self._tick_scheduled:
-            self._set_timer()
+        try:
+            for command in self._schedule.tick(self._world, now_ns()):
+                self._dispatch(command)
+        finally:
+            if not self._tick_scheduled:
+                self._set_timer()
 
     def _set_timer(self) -> None:
         due_ns = self._world.timers.next_due_ns()
--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -2,6 +2,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     completion,
+    containment,
     deadlines,
     placement,
     relaying,
@@ -43,8 +44,28 @@
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         for disconnected in world.inbox.take(ClientDisconnected):
             self._on_client_disconnected(world, disconnected.client_id, now_ns)
-        for event in world.inbox.take(RequestArrived):
-            self._on_request(world, event.request, event.arrived_ns, now_ns)
+        containment.run_each(
+            world,
+            world.inbox.take(RequestArrived),
+            self._on_arrived,
+            now_ns,
+            self._give_up,
+        )
+
+    def _on_arrived(
+        self, world: ForwardWorld, event: RequestArrived, now_ns: int
+    ) -> None:
+        self._on_request(world, event.request, event.arrived_ns, now_ns)
+
+    def _give_up(
+        self, world: ForwardWorld, event: RequestArrived, now_ns: int
+    ) -> None:
+        arrived = event.request
+        request_id = world.request_id_by_client.get(arrived.client_id)
+        if request_id is None:
+            self._refuse(world, arrived, ErrorKind.FAILED, "internal error")
+            return
+        completion.fail(world, request_id, now_ns)
 
     def _on_client_disconnected(
         self, world: ForwardWorld, client_id: int, now_ns: int
@@ -72,6 +93,9 @@
         if route is None:
             self._refuse(world, arrived, ErrorKind.NO_ROUTE, "no route")
             return
+        if not route.services:
+            self._refuse(world, arrived, ErrorKind.NOT_RUN, "no service")
+            return
         if not arrived.client_request_id:
             self._refuse(world, arrived, ErrorKind.BAD_REQUEST, "no request id")
             return
--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     connections,
+    containment,
     load_balancing,
     placement,
 )
@@ -88,12 +89,11 @@
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         world.answered_attempts.clear()
         world.lost_attempts.clear()
-        for opened in world.inbox.take(ConnectionOpened):
-            self._on_opened(world, opened, now_ns)
-        for answered in world.inbox.take(AttemptAnswered):
-            self._on_answered(world, answered, now_ns)
-        for ended in world.inbox.take(ConnectionEnded):
-            self._on_ended(world, ended, now_ns)
+        take = world.inbox.take
+        run_each = containment.run_each
+        run_each(world, take(ConnectionOpened), self._on_opened, now_ns)
+        run_each(world, take(AttemptAnswered), self._on_answered, now_ns)
+        run_each(world, take(ConnectionEnded), self._on_ended, now_ns)
         for key in world.timers.pop_due(TimerKind.ATTEMPT, now_ns):
             assert isinstance(key, int)
             cancel(world, key, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -6,6 +6,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     attempts,
+    containment,
     deadlines,
     wakeups,
 )
@@ -177,14 +178,16 @@
         if not world.dirty_requests:
             return
         dirty_requests, world.dirty_requests = world.dirty_requests, {}
-        for request_id in dirty_requests:
-            request = world.requests.get(request_id)
-            if request is not None:
-                self._complete(world, request, now_ns)
+        containment.run_each(
+            world, dirty_requests, self._complete, now_ns, fail
+        )
 
     def _complete(
-        self, world: ForwardWorld, request: Request, now_ns: int
+        self, world: ForwardWorld, request_id: int, now_ns: int
     ) -> None:
+        request = world.requests.get(request_id)
+        if request is None:
+            return
         answer = self._composer(request).compose(world, request, now_ns)
         if answer is None:
             self._schedule_next_check(world, request, now_ns)
@@ -225,6 +228,16 @@
                 attempts.abandon(world, attempt_id, now_ns)
 
 
+def fail(world: ForwardWorld, request_id: int, now_ns: int) -> None:
+    """Ends a request that cannot be processed because of an internal error."""
+    request = world.requests.get(request_id)
+    if request is None:
+        return
+    if request.origin is None:
+        world.emit(build_error(world, request, ErrorKind.FAILED))
+    cancel(world, request, now_ns)
+
+
 def cancel(world: ForwardWorld, request: Request, now_ns: int) -> None:
     """Ends a request that nobody waits for, with its attempts and relays."""
     remove_request(world, request, at_once=True)
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 
 from snipesaddle._internal.systems import rendezvous
+from snipesaddle._internal.systems.forwarding import containment
 from snipesaddle._internal.systems.forwarding.presence import this_node_record
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
@@ -190,9 +191,11 @@
             world.range_changes[Range.NODES] = []
             for change in changes:
                 self._apply_item(world, change.key, change.item, now_ns)
-        for heartbeat in world.inbox.take(NodeBeat):
-            self._on_heartbeat(world, heartbeat.node, now_ns)
+        records = [beat.node for beat in world.inbox.take(NodeBeat)]
+        containment.run_each(world, records, self._on_heartbeat, now_ns)
         for _ in world.timers.pop_due(TimerKind.FLEET_HEARTBEAT, now_ns):
+            due_ns = now_ns + heartbeat_interval_ns(world)
+            world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, due_ns)
             self._run_heartbeat(world, now_ns)
         if world.fleet.active_is_stale:
             refresh_active(world, now_ns)
@@ -203,8 +206,6 @@
         send_heartbeats(world)
         self._remove_expired(world, now_ns)
         self._update_recent_max_size(world, now_ns)
-        due_ns = now_ns + heartbeat_interval_ns(world)
-        world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, due_ns)
 
     def _update_attempt_rate(self, world: ForwardWorld, now_ns: int) -> None:
         fleet = world.fleet
--- a/src/snipesaddle/_internal/systems/forwarding/gathering.py
+++ b/src/snipesaddle/_internal/systems/forwarding/gathering.py
@@ -2,6 +2,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     completion,
+    containment,
     placement,
     wakeups,
 )
@@ -24,10 +25,10 @@
     """Starts the requests that other nodes relay, and ends cancelled ones."""
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
-        for ask in world.inbox.take(RelayAsk):
-            self._on_relay_ask(world, ask, now_ns)
-        for cancelled in world.inbox.take(RelayCancel):
-            self._on_relay_cancel(world, cancelled, now_ns)
+        take = world.inbox.take
+        run_each = containment.run_each
+        run_each(world, take(RelayAsk), self._on_relay_ask, now_ns)
+        run_each(world, take(RelayCancel), self._on_relay_cancel, now_ns)
 
     def _on_relay_ask(
         self, world: ForwardWorld, ask: RelayAsk, now_ns: int
--- a/src/snipesaddle/_internal/systems/forwarding/hedging.py
+++ b/src/snipesaddle/_internal/systems/forwarding/hedging.py
@@ -9,7 +9,9 @@
 """
 
 from snipesaddle._internal.systems.forwarding import (
+    completion,
     connections,
+    containment,
     placement,
     relaying,
     retries,
@@ -34,15 +36,18 @@
         self._chooser = chooser
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
-        for key in world.timers.pop_due(TimerKind.REQUEST, now_ns):
-            assert isinstance(key, int)
-            request = world.requests.get(key)
-            if request is not None:
-                self._on_wakeup(world, request, now_ns)
+        due = world.timers.pop_due(TimerKind.REQUEST, now_ns)
+        request_ids = [key for key in due if isinstance(key, int)]
+        containment.run_each(
+            world, request_ids, self._on_wakeup, now_ns, completion.fail
+        )
 
     def _on_wakeup(
-        self, world: ForwardWorld, request: Request, now_ns: int
+        self, world: ForwardWorld, request_id: int, now_ns: int
     ) -> None:
+        request = world.requests.get(request_id)
+        if request is None:
+            return
         due_indexes = self._due_parts(request, now_ns)
         relayed_indexes = relaying.relay_hedges(
             world, request, due_indexes, now_ns
--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -1,6 +1,10 @@
 """Outcomes: applies the result of each attempt to its part."""
 
-from snipesaddle._internal.systems.forwarding import attempts, placement
+from snipesaddle._internal.systems.forwarding import (
+    attempts,
+    containment,
+    placement,
+)
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.requests import (
     Attempt,
@@ -10,7 +14,11 @@
     PartState,
     Request,
 )
-from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.forwarding.world import (
+    AnsweredAttempt,
+    ForwardWorld,
+    LostAttempt,
+)
 from snipesaddle._internal.tables.timers import TimerKind
 
 # The most sends of one part, over all its endpoints.
@@ -25,18 +33,15 @@
     """Stores the answers of parts, and retries or gives up failed parts."""
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
-        for ended in world.answered_attempts:
-            self._on_answered(world, ended.attempt, ended.event.answer, now_ns)
-        for lost in world.lost_attempts:
-            self._on_lost(world, lost.attempt, lost.sent, lost.detail, now_ns)
+        run_each = containment.run_each
+        run_each(world, world.answered_attempts, self._on_answered, now_ns)
+        run_each(world, world.lost_attempts, self._on_lost, now_ns)
 
     def _on_answered(
-        self,
-        world: ForwardWorld,
-        attempt: Attempt,
-        answer: EndpointAnswer,
-        now_ns: int,
+        self, world: ForwardWorld, ended: AnsweredAttempt, now_ns: int
     ) -> None:
+        attempt = ended.attempt
+        answer = ended.event.answer
         found = self._detach_attempt(world, attempt)
         if found is None:
             return
@@ -79,13 +84,9 @@
         )
 
     def _on_lost(
-        self,
-        world: ForwardWorld,
-        attempt: Attempt,
-        sent: bool,
-        detail: str,
-        now_ns: int,
+        self, world: ForwardWorld, lost: LostAttempt, now_ns: int
     ) -> None:
+        attempt = lost.attempt
         found = self._detach_attempt(world, attempt)
         if found is None:
             return
@@ -95,10 +96,10 @@
             request=request.arrived.client_request_id,
             service=request.parts[attempt.part_index].service,
             endpoint=attempt.endpoint_id,
-            sent=sent,
+            sent=lost.sent,
             runs=request.parts[attempt.part_index].possible_runs,
             age_ms=(now_ns - attempt.chosen_ns) // NS_PER_MS,
-            detail=detail,
+            detail=lost.detail,
         )
         self._on_attempt_failed(
             world, request, attempt, MissingCause.FAILED, now_ns
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -2,6 +2,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     connections,
+    containment,
     load_balancing,
     retries,
 )
@@ -178,10 +179,16 @@
             world.pending_parts.append(key)
         self._requeue_waiting(world)
         while world.pending_parts:
-            request_id, index = world.pending_parts.popleft()
-            found = find_open_part(world, request_id, index)
-            if found is not None and found[1].state is not PartState.RUNNING:
-                self._place(world, found[0], index, now_ns)
+            part_key = world.pending_parts.popleft()
+            containment.run_each(world, [part_key], self._place_pending, now_ns)
+
+    def _place_pending(
+        self, world: ForwardWorld, part_key: tuple[int, int], now_ns: int
+    ) -> None:
+        request_id, index = part_key
+        found = find_open_part(world, request_id, index)
+        if found is not None and found[1].state is not PartState.RUNNING:
+            self._place(world, found[0], index, now_ns)
 
     def _requeue_waiting(self, world: ForwardWorld) -> None:
         if not world.freed_services:
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -1,5 +1,6 @@
 """The fixed order in which the systems of the forwarding tier run."""
 
+from snipesaddle._internal.systems.forwarding import containment
 from snipesaddle._internal.systems.forwarding.arrivals import ArrivalsSystem
 from snipesaddle._internal.systems.forwarding.attempts import AttemptsSystem
 from snipesaddle._internal.systems.forwarding.completion import (
@@ -66,13 +67,17 @@
     def tick(self, world: ForwardWorld, now_ns: int) -> list[Command]:
         """Runs one tick and returns the commands that the systems emitted.
 
-        The systems run again, up to `_MAX_PASSES` times in all, while a later
+        An error that a system does not contain itself ends its run only. The
+        systems run again, up to `_MAX_PASSES` times in all, while a later
         system has left work for an earlier one.
         """
         world.counters.ticks += 1
         for _ in range(_MAX_PASSES):
             for system in self._systems:
-                system.run(world, now_ns)
+                try:
+                    system.run(world, now_ns)
+                except Exception as error:
+                    containment.report(world, error, now_ns)
             if (
                 not world.pending_parts
                 and not world.freed_services
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -5,7 +5,7 @@
 delivers every change after that revision.
 """
 
-from snipesaddle._internal.systems.forwarding import fleet
+from snipesaddle._internal.systems.forwarding import containment, fleet
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     ListRange,
@@ -41,15 +41,16 @@
             world.timers.set(TimerKind.STORE_SYNC, cache.range, now_ns)
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
-        for listed in world.inbox.take(RangeListed):
-            self._on_page(world, listed, now_ns)
-        for changed in world.inbox.take(RangeChanged):
-            self._on_changes(world, changed, now_ns)
-        for failed in world.inbox.take(RangeFailed):
-            self._on_failure(world, failed, now_ns)
+        take = world.inbox.take
+        run_each = containment.run_each
+        run_each(world, take(RangeListed), self._on_page, now_ns)
+        run_each(world, take(RangeChanged), self._on_changes, now_ns)
+        run_each(world, take(RangeFailed), self._on_failure, now_ns)
         for key in world.timers.pop_due(TimerKind.STORE_SYNC, now_ns):
             assert isinstance(key, Range)
-            self._start_call(world, world.range_caches[key])
+            cache = world.range_caches[key]
+            if not cache.call_in_flight:
+                self._start_call(world, cache, now_ns)
 
     def _on_page(
         self, world: ForwardWorld, event: RangeListed, now_ns: int
@@ -178,9 +179,9 @@
         delay_ms = min(settings.retry_min_ms * 2**doublings, max_delay_ms)
         return int(delay_ms * NS_PER_MS * (0.5 + world.rng.random() / 2))
 
-    def _start_call(self, world: ForwardWorld, cache: RangeCache) -> None:
-        if cache.call_in_flight:
-            return
+    def _start_call(
+        self, world: ForwardWorld, cache: RangeCache, now_ns: int
+    ) -> None:
         cache.call_in_flight = True
         world.counters.store_calls += 1
         settings = world.settings.store
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -92,6 +92,7 @@
     connections_lost: int = 0
     store_calls: int = 0
     store_failures: int = 0
+    unexpected_errors: int = 0
     ticks: int = 0
 
 
@@ -119,6 +120,8 @@
       overdue_relay_requests: requests whose relays were not answered in time.
       freed_services: services with new connection capacity in this tick; a
         dictionary keeps their order.
+      error_log_due_ns: when an unexpected error of a type at a place in the
+        code is logged again.
       split_credits: by route name, for routes with several targets, the credit
         of each target.
     """
@@ -161,6 +164,7 @@
     latencies: dict[str, RouteLatency] = field(default_factory=dict)
     time_limits: dict[str, LongestTimeLimit] = field(default_factory=dict)
     split_credits: dict[str, list[float]] = field(default_factory=dict)
+    error_log_due_ns: dict[tuple[str, str], int] = field(default_factory=dict)
     counters: ForwardCounters = field(default_factory=ForwardCounters)
     ids: "itertools.count[int]" = field(
         default_factory=lambda: itertools.count(1)
--- a/src/snipesaddle/platform/records.py
+++ b/src/snipesaddle/platform/records.py
@@ -1,5 +1,6 @@
 """Converts between values in the platform's store and the product's types."""
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -23,9 +24,12 @@
 from snipesaddle.platform import names
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
-_Address = Annotated[
-    str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-]
+_OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
+_PORT = (
+    r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])"
+)
+_ADDRESS_PATTERN = rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}$"
+_Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS_PATTERN)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -107,8 +111,8 @@
         if key.startswith(names.ENDPOINT_PREFIX):
             endpoint_id = key.removeprefix(names.ENDPOINT_PREFIX)
             return endpoint_id, _to_endpoint_entry(endpoint_id, value)
-        return key.removeprefix(names.NODE_PREFIX), _decode_node(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return key.removeprefix(names.NODE_PREFIX), _to_node_record(value)
+    except (ValueError, OverflowError, RecursionError) as error:
         return row_key(key), UnreadableItem(str(error))
 
 
@@ -149,6 +153,14 @@
     )
 
 
+def _to_node_record(value: bytes) -> NodeRecord:
+    record = _decode_node(value)
+    for address in (record.front_address, record.peer_address):
+        if not re.fullmatch(_ADDRESS_PATTERN, address):
+            raise ValueError(f"{address!r} is not an address")
+    return record
+
+
 def _to_endpoint_entry(endpoint_id: str, value: bytes) -> EndpointEntry:
     entry = _decode_endpoint(value)
     return EndpointEntry(
--- a/src/snipesaddle/platform/store.py
+++ b/src/snipesaddle/platform/store.py
@@ -186,7 +186,7 @@
         """Decodes a configuration; returns None if it is malformed."""
         try:
             return records.decode_config(source)
-        except msgspec.MsgspecError:
+        except (ValueError, OverflowError, RecursionError):
             return None
 
     def set_address(self, address: str) -> None:
