Replace a watch that delivers nothing while other nodes receive changes

Change: a node whose peers report newer endpoints than its waiting watch has delivered for 0.7 s starts the watch again; the time doubles with each one in a row, in case the store is slow. A replaced call is cancelled, so that its late result brings back no older item.

Tests: three in test_store, two of which fail before.

--- a/src/snipesaddle/_internal/daemon/forward_dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/forward_dispatcher.py
@@ -17,6 +17,7 @@
 from snipesaddle._internal.ports.peer_transport import PeerTransport
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.messages import RelayAsk
+from snipesaddle._internal.tables.forwarding.store_ranges import Range
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 
@@ -50,6 +51,7 @@
         self._world = world
         self._ports = ports
         self._tasks: set[asyncio.Task[None]] = set()
+        self._range_calls: dict[Range, asyncio.Task[None]] = {}
         self.stopped = asyncio.Event()
         frontend = ports.frontend
         store = ports.store
@@ -129,7 +131,11 @@
         command: commands.ListRange | commands.WatchRange,
         coroutine: Coroutine[Any, Any, object],
     ) -> None:
-        self._start_and_post(
+        # A late result of a replaced call would bring back older items.
+        replaced = self._range_calls.get(command.range)
+        if replaced is not None:
+            replaced.cancel()
+        self._range_calls[command.range] = self._start_and_post(
             coroutine,
             lambda detail: events.RangeFailed(command.range, False, detail),
         )
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -275,6 +275,10 @@
             world.fleet.active_is_stale = True
         if node.record.incarnation == record.incarnation:
             node.last_heard_ns = now_ns
+        fleet = world.fleet
+        fleet.endpoints_revision = max(
+            fleet.endpoints_revision, record.endpoints_revision
+        )
         if now_ns - node.last_sync_ns < _SYNC_INTERVAL_NS:
             return
         if self._sync_peer(world, node, record, now_ns):
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -31,6 +31,11 @@
 # does not count as an outage.
 _FAILURES_UNTIL_LOST = 2
 _MAX_DOUBLINGS = 6
+# A waiting watch of the endpoints is stalled when it has delivered nothing for
+# this long although other nodes know newer endpoints. A connection can drop
+# silently, and a store can keep a watch that it no longer serves. The time
+# doubles with each watch in a row, in case the store itself is slow.
+_STALLED_WATCH_NS = 700 * NS_PER_MS
 
 
 class StoreSyncSystem(TickSystem[ForwardWorld]):
@@ -51,6 +56,30 @@
             cache = world.range_caches[key]
             if not cache.call_in_flight:
                 self._start_call(world, cache, now_ns)
+        self._replace_stalled_watch(world, now_ns)
+
+    def _replace_stalled_watch(self, world: ForwardWorld, now_ns: int) -> None:
+        fleet_table = world.fleet
+        if fleet_table.endpoints_revision <= world.endpoints_revision:
+            fleet_table.behind_since_ns = 0
+            return
+        fleet_table.behind_since_ns = fleet_table.behind_since_ns or now_ns
+        cache = world.range_caches[Range.ENDPOINTS]
+        if cache.stage is not SyncStage.WATCH or not cache.call_in_flight:
+            return
+        since_ns = max(fleet_table.behind_since_ns, cache.call_started_ns)
+        doublings = min(cache.stalled_calls, _MAX_DOUBLINGS)
+        if now_ns - since_ns < _STALLED_WATCH_NS * 2**doublings:
+            return
+        cache.stalled_calls += 1
+        world.log(
+            "watch_stalled",
+            range=cache.range.value,
+            revision=world.endpoints_revision,
+            peer_revision=fleet_table.endpoints_revision,
+            waited_ms=(now_ns - cache.call_started_ns) // NS_PER_MS,
+        )
+        self._start_call(world, cache, now_ns)
 
     def _on_page(
         self, world: ForwardWorld, event: RangeListed, now_ns: int
@@ -139,6 +168,7 @@
         self, world: ForwardWorld, cache: RangeCache, now_ns: int
     ) -> None:
         cache.call_in_flight = False
+        cache.stalled_calls = 0
         if cache.consecutive_failures and world.store.is_ok:
             # One failed watch may have been a short outage, so the grace
             # period for expired registrations starts here, too.
@@ -183,6 +213,7 @@
         self, world: ForwardWorld, cache: RangeCache, now_ns: int
     ) -> None:
         cache.call_in_flight = True
+        cache.call_started_ns = now_ns
         world.counters.store_calls += 1
         settings = world.settings.store
         if cache.stage is SyncStage.LIST:
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -121,6 +121,10 @@
       recent_max_size: the largest recent size of the fleet, this node
         included.
       recent_max_seen_ns: when that size was last reached.
+      endpoints_revision: the highest revision of the endpoint list that a
+        heartbeat of another node has reported.
+      behind_since_ns: since when this node has lacked that revision; 0 while
+        it does not.
     """
 
     nodes: dict[str, PeerNode] = field(default_factory=dict)
@@ -131,3 +135,5 @@
     last_heartbeat_ns: int = 0
     recent_max_size: int = 1
     recent_max_seen_ns: int = 0
+    endpoints_revision: int = 0
+    behind_since_ns: int = 0
--- a/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
+++ b/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
@@ -67,6 +67,9 @@
       after_key: the last key of the pages listed so far.
       listed_items: the items of the pages listed so far.
       call_in_flight: a list or watch call is in flight.
+      call_started_ns: when the last call started.
+      stalled_calls: watches in a row that were replaced because they delivered
+        no changes while other nodes received some.
       consecutive_failures: failed calls since the last successful one.
       last_reply_ns: when the store last answered a call for it; 0 for never.
     """
@@ -80,6 +83,8 @@
     after_key: str = ""
     listed_items: dict[str, Item] = field(default_factory=dict)
     call_in_flight: bool = False
+    call_started_ns: int = 0
+    stalled_calls: int = 0
     consecutive_failures: int = 0
     last_reply_ns: int = 0
 
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -247,3 +247,44 @@
     ticks.advance(600, 100)
     (write,) = ticks.taken(commands.WritePresence)
     assert write.lease_id == 0
+
+
+def lag_behind(ticks: ForwardTicks, revision: int, beats: int) -> None:
+    for _ in range(beats):
+        ticks.advance(300, 50)
+        ticks.beat("e2", endpoints_revision=revision)
+
+
+def endpoint_watches(ticks: ForwardTicks) -> int:
+    taken = ticks.taken(commands.WatchRange)
+    return sum(watch.range is Range.ENDPOINTS for watch in taken)
+
+
+def test_a_watch_that_delivers_nothing_is_replaced(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.advance(5_000, 100)
+    assert endpoint_watches(ticks) == 1
+    lag_behind(ticks, 11, beats=5)
+    assert endpoint_watches(ticks) == 1
+    ticks.change(Range.ENDPOINTS, "f1", None, revision=11)
+    ticks.ask(b"/file/7")
+    assert not ticks.taken(commands.SendAttempt)
+
+
+def test_a_slow_store_is_given_more_time_each_time(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.advance(5_000, 100)
+    endpoint_watches(ticks)
+    lag_behind(ticks, 11, beats=40)
+    assert endpoint_watches(ticks) == 4
+
+
+def test_a_watch_without_changes_elsewhere_waits_on(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.advance(5_000, 100)
+    endpoint_watches(ticks)
+    lag_behind(ticks, 10, beats=20)
+    assert endpoint_watches(ticks) == 0
