Let idle nodes follow the active nodes of their zone instead of the store

Cause: every node watched three ranges, and each change woke all of them. Heartbeats ended at the 64th node.

Change: systems/forwarding/following.py. An active node passes the changes that its watch delivers, and a new configuration, to the idle nodes of its zone for which rendezvous hashing chooses it. An idle node without an active one of its zone that reaches the store, or more than 1 s behind any heartbeat, watches itself, from the revision that it has; changes that it already has are not applied again. Records of nodes are watched with gaps of 1 s and 5 s, since heartbeats tell who is up. Active nodes send heartbeats to up to 256 nodes, first to the active ones and their own zone. fleet.py is split: activity (who is up and active), peer_sync (who is sent what it lacks).

--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -49,8 +49,11 @@
       watch_wait_ms: how long one watch waits for a change.
       watch_gap_ms: delay after a watch that returned changes, so that changes
         in quick succession arrive together.
-      idle_gap_ms: the same delay on a node that clients are not sent to; it
-        does not apply to the configuration.
+      idle_gap_ms: the same delay for the endpoints on a node that clients are
+        not sent to.
+      node_gap_ms: the same delay for the records of the other nodes, whose
+        liveness is known from heartbeats.
+      idle_node_gap_ms: the same on a node that clients are not sent to.
       retry_min_ms: minimum delay of the exponential backoff after failures.
       retry_max_ms: maximum delay of that backoff.
       start_retry_ms: maximum delay of that backoff until a range has been read
@@ -65,6 +68,8 @@
     watch_wait_ms: Positive = 30_000
     watch_gap_ms: Positive = 300
     idle_gap_ms: Positive = 1_200
+    node_gap_ms: Positive = 1_000
+    idle_node_gap_ms: Positive = 5_000
     retry_min_ms: Positive = 100
     retry_max_ms: Positive = 1_000
     start_retry_ms: Positive = 200
@@ -95,7 +100,7 @@
     heartbeat_ms: Positive = 500
     small: Positive = 8
     missed_beats: Ratio = 3.2
-    reach: Positive = 64
+    reach: Positive = 256
     min_active: Positive = 8
     attempts_per_node: Positive = 600
 
--- a/src/snipesaddle/_internal/systems/forwarding/config_activation.py
+++ b/src/snipesaddle/_internal/systems/forwarding/config_activation.py
@@ -1,5 +1,6 @@
 """Config activation: puts the newest known configuration in force."""
 
+from snipesaddle._internal.systems.forwarding import following
 from snipesaddle._internal.systems.tick import TickSystem
 from snipesaddle._internal.tables.forwarding.commands import SetClientLimits
 from snipesaddle._internal.tables.forwarding.events import PeerConfigReceived
@@ -38,6 +39,7 @@
         for removed in world.split_credits.keys() - names:
             del world.split_credits[removed]
         world.emit(SetClientLimits(config.limits))
+        following.pass_on_config(world, now_ns)
         world.log(
             "config_in_force",
             version=config.version,
--- a/src/snipesaddle/_internal/systems/forwarding/directory.py
+++ b/src/snipesaddle/_internal/systems/forwarding/directory.py
@@ -5,7 +5,7 @@
 these nodes are up, the answer lists all active nodes that are up.
 """
 
-from snipesaddle._internal.systems.forwarding import fleet
+from snipesaddle._internal.systems.forwarding import activity
 from snipesaddle._internal.systems.tick import TickSystem
 from snipesaddle._internal.tables.forwarding.commands import AnswerDirectory
 from snipesaddle._internal.tables.forwarding.events import DirectoryRequested
@@ -52,10 +52,10 @@
             return
         nodes = [
             (node.record.zone, node.record.front_address)
-            for node in fleet.live_active_peers(world, now_ns)
+            for node in activity.live_active_peers(world, now_ns)
         ]
         serving = world.this_node.phase is NodePhase.SERVING
-        if serving and (fleet.is_active(world) or not nodes):
+        if serving and (activity.is_active(world) or not nodes):
             nodes.append((world.this_node.zone, world.this_node.front_address))
         for event in requests:
             self._answer(world, event, nodes)
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/following.py
@@ -0,0 +1,182 @@
+"""Following: idle nodes get changes from an active node, not from the store.
+
+Answers the load pattern of a large fleet in which many endpoints change at
+once: a watch of every node would be woken by each change, so that the calls to
+the store would grow with the fleet. An active node passes the changes that its
+watches deliver to the idle nodes of its zone. An idle node watches the store
+itself as soon as it hears no active node of its zone that reaches the store,
+or lags behind what any heartbeat reports.
+"""
+
+from snipesaddle._internal.systems.forwarding import activity, peer_sync
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.commands import SendToNode
+from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
+from snipesaddle._internal.tables.forwarding.events import RangeChanged
+from snipesaddle._internal.tables.forwarding.fleet import (
+    NodePhase,
+    NodeRecord,
+)
+from snipesaddle._internal.tables.forwarding.messages import (
+    ConfigShare,
+    EndpointChange,
+    EndpointChanges,
+    FleetMessage,
+)
+from snipesaddle._internal.tables.forwarding.store_ranges import (
+    Change,
+    Range,
+    RangeCache,
+    SyncStage,
+    UnreadableItem,
+)
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+# The longest lag behind other nodes with which an idle node still follows.
+_MAX_LAG_NS = 1_000 * NS_PER_MS
+_NEVER_RECOVERED = -1
+
+
+def is_following(world: ForwardWorld, cache: RangeCache, now_ns: int) -> bool:
+    """Returns whether this node leaves the watch of a range to others."""
+    fleet = world.fleet
+    if cache.range is Range.NODES or cache.stage is not SyncStage.WATCH:
+        return False
+    if world.this_node.phase is not NodePhase.SERVING:
+        return False
+    if activity.is_active(world):
+        return False
+    if fleet.behind_since_ns and now_ns - fleet.behind_since_ns > _MAX_LAG_NS:
+        return False
+    return any(
+        node.record.zone == world.this_node.zone
+        and node.record.store_ok
+        and node.last_heard_ns
+        for node in activity.live_active_peers(world, now_ns)
+    )
+
+
+def update_lag(world: ForwardWorld, now_ns: int) -> None:
+    """Updates since when this node lacks what heartbeats have reported."""
+    fleet = world.fleet
+    cache = world.range_caches[Range.ENDPOINTS]
+    if (
+        cache.stage is SyncStage.WATCH
+        and world.endpoints_revision < fleet.endpoints_revision
+        and fleet.endpoints_revision <= cache.revision
+    ):
+        # The change at that revision was a removal, which a list does not
+        # show.
+        world.endpoints_revision = fleet.endpoints_revision
+    is_behind = (
+        fleet.endpoints_revision > world.endpoints_revision
+        or fleet.config_version > world.active_config.version
+    )
+    if not is_behind:
+        fleet.behind_since_ns = 0
+    elif not fleet.behind_since_ns:
+        fleet.behind_since_ns = now_ns
+
+
+def pass_on_changes(
+    world: ForwardWorld,
+    event: RangeChanged,
+    previous_revision: int,
+    now_ns: int,
+) -> None:
+    """Sends changes from a watch of the endpoints to the followers.
+
+    Args:
+      world: the tables.
+      event: what the watch delivered.
+      previous_revision: the revision from which it continued.
+      now_ns: the time of the tick.
+    """
+    if event.range is not Range.ENDPOINTS or not event.changes:
+        return
+    recovered_ns = world.store.recovered_ns
+    message = EndpointChanges(
+        after_revision=previous_revision,
+        revision=event.revision,
+        changes=tuple(map(_to_message, event.changes)),
+        recovered_ago_ms=(now_ns - recovered_ns) // NS_PER_MS
+        if recovered_ns
+        else _NEVER_RECOVERED,
+    )
+    _send_to_followers(world, message, now_ns)
+
+
+def pass_on_config(world: ForwardWorld, now_ns: int) -> None:
+    """Sends the configuration that came into force to the followers."""
+    config = world.active_config.config
+    if config.source:
+        share = ConfigShare(config.version, config.source)
+        _send_to_followers(world, share, now_ns)
+
+
+def _send_to_followers(
+    world: ForwardWorld, message: FleetMessage, now_ns: int
+) -> None:
+    if not activity.is_active(world):
+        return
+    for node_id, node in world.fleet.nodes.items():
+        record = node.record
+        if (
+            node_id not in world.fleet.active_node_ids
+            and _is_follower(world, record)
+            and activity.is_live(world, node, now_ns)
+            and peer_sync.is_sync_source(world, record)
+        ):
+            world.emit(SendToNode(record.peer_address, message))
+
+
+def _is_follower(world: ForwardWorld, record: NodeRecord) -> bool:
+    return (
+        record.zone == world.this_node.zone
+        and record.phase is NodePhase.SERVING
+    )
+
+
+def _to_message(change: Change) -> EndpointChange:
+    if change.item is None or isinstance(change.item, UnreadableItem):
+        unreadable = change.item.detail if change.item else ""
+        return EndpointChange(change.key, change.revision, None, unreadable)
+    entry = change.item
+    assert isinstance(entry, EndpointEntry)
+    return EndpointChange(change.key, change.revision, entry)
+
+
+def _to_change(message: EndpointChange) -> Change:
+    item = message.entry or (
+        UnreadableItem(message.unreadable) if message.unreadable else None
+    )
+    return Change(message.key, item, message.revision)
+
+
+class FollowingSystem(TickSystem[ForwardWorld]):
+    """Applies the changes that an active node passes on."""
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        for message in world.inbox.take(EndpointChanges):
+            self._on_changes(world, message, now_ns)
+
+    def _on_changes(
+        self, world: ForwardWorld, message: EndpointChanges, now_ns: int
+    ) -> None:
+        cache = world.range_caches[Range.ENDPOINTS]
+        if cache.stage is not SyncStage.WATCH:
+            return
+        # With a gap before the changes, this node lags until its own watch or
+        # the list of a peer closes it.
+        if not message.after_revision <= cache.revision < message.revision:
+            return
+        if message.recovered_ago_ms != _NEVER_RECOVERED:
+            recovered_ns = now_ns - message.recovered_ago_ms * NS_PER_MS
+            world.store.recovered_ns = max(
+                world.store.recovered_ns, recovered_ns
+            )
+        for change in map(_to_change, message.changes):
+            if change.revision > cache.revision:
+                world.range_changes[Range.ENDPOINTS].append(change)
+                cache.item_revision = max(cache.item_revision, change.revision)
+        cache.revision = message.revision
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -7,6 +7,7 @@
 """
 
 from snipesaddle._internal.systems.forwarding import (
+    activity,
     completion,
     fleet,
     presence,
@@ -58,7 +59,7 @@
         world.this_node.phase = NodePhase.SERVING
         world.presence.stale = True
         presence.update_now(world, now_ns)
-        fleet.refresh_active(world, now_ns)
+        activity.refresh_active(world, now_ns)
         fleet.send_heartbeats(world)
         world.emit(SetReadiness(True))
         world.log(
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterator
 
 from snipesaddle._internal.systems.forwarding import (
+    activity,
     attempts,
-    fleet,
     placement,
     retries,
     wakeups,
@@ -174,7 +174,7 @@
     world: ForwardWorld, now_ns: int
 ) -> dict[str, list[PeerNode]]:
     by_zone: dict[str, list[PeerNode]] = {}
-    for node in fleet.live_active_peers(world, now_ns):
+    for node in activity.live_active_peers(world, now_ns):
         if now_ns >= node.no_relays_until_ns:
             by_zone.setdefault(node.record.zone, []).append(node)
     return by_zone
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -12,6 +12,7 @@
 from snipesaddle._internal.systems.forwarding.directory import DirectorySystem
 from snipesaddle._internal.systems.forwarding.endpoints import EndpointsSystem
 from snipesaddle._internal.systems.forwarding.fleet import FleetSystem
+from snipesaddle._internal.systems.forwarding.following import FollowingSystem
 from snipesaddle._internal.systems.forwarding.gathering import GatheringSystem
 from snipesaddle._internal.systems.forwarding.hedging import HedgingSystem
 from snipesaddle._internal.systems.forwarding.lifecycle import LifecycleSystem
@@ -43,6 +44,7 @@
         chooser = LatencyChooser()
         self._systems: tuple[TickSystem[ForwardWorld], ...] = (
             StoreSyncSystem(),
+            FollowingSystem(),
             ConfigActivationSystem(),
             EndpointsSystem(),
             FleetSystem(),
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -5,7 +5,11 @@
 delivers every change after that revision.
 """
 
-from snipesaddle._internal.systems.forwarding import containment, fleet
+from snipesaddle._internal.systems.forwarding import (
+    activity,
+    containment,
+    following,
+)
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     ListRange,
@@ -36,6 +40,7 @@
 # silently, and a store can keep a watch that it no longer serves. The time
 # doubles with each watch in a row, in case the store itself is slow.
 _STALLED_WATCH_NS = 700 * NS_PER_MS
+_FOLLOW_CHECK_NS = 400 * NS_PER_MS
 
 
 class StoreSyncSystem(TickSystem[ForwardWorld]):
@@ -46,6 +51,7 @@
             world.timers.set(TimerKind.STORE_SYNC, cache.range, now_ns)
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
+        following.update_lag(world, now_ns)
         take = world.inbox.take
         run_each = containment.run_each
         run_each(world, take(RangeListed), self._on_page, now_ns)
@@ -54,20 +60,22 @@
         for key in world.timers.pop_due(TimerKind.STORE_SYNC, now_ns):
             assert isinstance(key, Range)
             cache = world.range_caches[key]
-            if not cache.call_in_flight:
+            if cache.call_in_flight:
+                continue
+            if following.is_following(world, cache, now_ns):
+                self._schedule(world, cache, now_ns + _FOLLOW_CHECK_NS)
+            else:
                 self._start_call(world, cache, now_ns)
         self._replace_stalled_watch(world, now_ns)
 
     def _replace_stalled_watch(self, world: ForwardWorld, now_ns: int) -> None:
-        fleet_table = world.fleet
-        if fleet_table.endpoints_revision <= world.endpoints_revision:
-            fleet_table.behind_since_ns = 0
-            return
-        fleet_table.behind_since_ns = fleet_table.behind_since_ns or now_ns
+        fleet = world.fleet
         cache = world.range_caches[Range.ENDPOINTS]
+        if fleet.endpoints_revision <= world.endpoints_revision:
+            return
         if cache.stage is not SyncStage.WATCH or not cache.call_in_flight:
             return
-        since_ns = max(fleet_table.behind_since_ns, cache.call_started_ns)
+        since_ns = max(fleet.behind_since_ns, cache.call_started_ns)
         doublings = min(cache.stalled_calls, _MAX_DOUBLINGS)
         if now_ns - since_ns < _STALLED_WATCH_NS * 2**doublings:
             return
@@ -76,7 +84,7 @@
             "watch_stalled",
             range=cache.range.value,
             revision=world.endpoints_revision,
-            peer_revision=fleet_table.endpoints_revision,
+            peer_revision=fleet.endpoints_revision,
             waited_ms=(now_ns - cache.call_started_ns) // NS_PER_MS,
         )
         self._start_call(world, cache, now_ns)
@@ -124,9 +132,14 @@
     ) -> None:
         cache = world.range_caches[event.range]
         self._on_reply(world, cache, now_ns)
+        previous_revision = cache.revision
+        following.pass_on_changes(world, event, previous_revision, now_ns)
         cache.revision = max(cache.revision, event.revision)
-        world.range_changes[cache.range].extend(event.changes)
         for change in event.changes:
+            # A peer may have passed on changes in the meantime.
+            if change.revision <= previous_revision:
+                continue
+            world.range_changes[cache.range].append(change)
             self._advance_item_revision(cache, change.revision)
             self._handle_item(world, change.key, change.item)
         pause_ns = self._watch_pause_ns(world, cache) if event.changes else 0
@@ -134,9 +147,16 @@
 
     def _watch_pause_ns(self, world: ForwardWorld, cache: RangeCache) -> int:
         settings = world.settings.store
-        is_urgent = cache.range is Range.CONFIG or fleet.is_active(world)
-        pause_ms = settings.watch_gap_ms if is_urgent else settings.idle_gap_ms
-        return pause_ms * NS_PER_MS
+        is_active = activity.is_active(world)
+        if cache.range is Range.NODES:
+            gap_ms = (
+                settings.node_gap_ms if is_active else settings.idle_node_gap_ms
+            )
+        elif cache.range is Range.CONFIG or is_active:
+            gap_ms = settings.watch_gap_ms
+        else:
+            gap_ms = settings.idle_gap_ms
+        return gap_ms * NS_PER_MS
 
     def _on_failure(
         self, world: ForwardWorld, event: RangeFailed, now_ns: int
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -127,7 +127,8 @@
         that this node may use; 0 while it is not active.
       endpoints_revision: the highest revision of the endpoint list that a
         heartbeat of another node has reported.
-      behind_since_ns: since when this node has lacked that revision; 0 while
+      config_version: the highest configuration version reported likewise.
+      behind_since_ns: since when this node has lacked either of them; 0 while
         it does not.
     """
 
@@ -143,4 +144,5 @@
     active_since_ns: int = 0
     active_share: float = 1.0
     endpoints_revision: int = 0
+    config_version: int = 0
     behind_since_ns: int = 0
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -39,6 +39,36 @@
     entries: tuple[EndpointEntry, ...]
 
 
+class EndpointChange(msgspec.Struct, frozen=True, array_like=True):
+    """A change of one registration.
+
+    Attributes:
+      entry: the new registration; None if it was removed or cannot be read.
+      unreadable: why it cannot be read; empty otherwise.
+    """
+
+    key: str
+    revision: int
+    entry: EndpointEntry | None
+    unreadable: str = ""
+
+
+class EndpointChanges(msgspec.Struct, frozen=True, array_like=True):
+    """The changes of the endpoints between two revisions of the store.
+
+    Attributes:
+      after_revision: all changes after this revision are included.
+      revision: all changes up to this revision are included.
+      recovered_ago_ms: how long ago the store became reachable again for the
+        sender; -1 for never.
+    """
+
+    after_revision: int
+    revision: int
+    changes: tuple[EndpointChange, ...]
+    recovered_ago_ms: int
+
+
 class RelayAsk(msgspec.Struct, frozen=True, array_like=True):
     """Asks a node to gather parts of a request from its own zone.
 
@@ -106,6 +136,7 @@
     NodeBeat
     | ConfigShare
     | EndpointsShare
+    | EndpointChanges
     | RelayAsk
     | RelayReply
     | RelayCancel
