Ask the same endpoints again for a part whose answers were lost

The route limits how many endpoints may run a part, not how often one of them may.

Change: once as many endpoints as permitted may have run an idempotent part, it is sent again to these only, up to four sends, within the retry budget. Runs at other nodes count.

--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -21,11 +21,7 @@
 )
 from snipesaddle._internal.tables.timers import TimerKind
 
-# The most sends of one part, over all its endpoints.
-_MAX_SENDS = 4
 _SAME_ENDPOINT_BACKOFF_NS = 20 * NS_PER_MS
-# With less time to the deadline, a failed part is not retried.
-_MIN_RETRY_TIME_NS = 10 * NS_PER_MS
 _MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -48,6 +44,7 @@
         request, part = found
         if answer.not_run:
             part.possible_runs -= 1
+            part.run_endpoint_ids.remove(attempt.endpoint_id)
             self._on_attempt_failed(
                 world, request, attempt, MissingCause.REFUSED, now_ns
             )
@@ -142,7 +139,7 @@
         part.cause = cause
         if part.attempts or part.hedge_relay_id:
             return
-        if not _may_retry(request, part, now_ns):
+        if not placement.may_retry(request, part, now_ns):
             placement.mark_missing(world, request, part, cause)
             return
         part.state = PartState.PENDING
@@ -152,13 +149,3 @@
             return
         due_ns = now_ns + _SAME_ENDPOINT_BACKOFF_NS
         world.timers.set(TimerKind.PART_RETRY, part_key, due_ns)
-
-
-def _may_retry(request: Request, part: Part, now_ns: int) -> bool:
-    if now_ns + _MIN_RETRY_TIME_NS >= request.deadline_ns:
-        return False
-    if part.send_count >= _MAX_SENDS:
-        return False
-    if not request.route.idempotent and part.possible_runs > 0:
-        return False
-    return part.possible_runs < request.route.max_attempts
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -28,6 +28,10 @@
 # Time for the answer to travel back to this node.
 _REPLY_MARGIN_MS = 3
 _MIN_HEDGE_DELAY_NS = 4 * NS_PER_MS
+# The most sends of one part, over all its endpoints.
+_MAX_SENDS = 4
+# With less time to the deadline, a failed part is not retried.
+_MIN_RETRY_TIME_NS = 10 * NS_PER_MS
 # For a route without latency samples.
 _DEFAULT_HEDGE_DELAY_NS = 40 * NS_PER_MS
 # Upper bound of the hedge delay, as a share of the time from the arrival of
@@ -73,6 +77,45 @@
     ]
 
 
+def permitted_endpoints(
+    world: ForwardWorld, request: Request, part: Part, now_ns: int
+) -> list[Endpoint]:
+    """Returns the usable endpoints that a part may be sent to next.
+
+    Untried ones come first. Once as many endpoints as the route permits may
+    have run the part, only these may get it again.
+    """
+    pool = world.pools.get(part.service)
+    if pool is None:
+        return []
+    max_endpoints = request.route.max_attempts
+    runs = len(set(part.run_endpoint_ids)) + part.relayed_runs
+    any_permitted = runs < max_endpoints or len(pool.endpoints) <= max_endpoints
+    permitted = [
+        endpoint
+        for endpoint in pool.endpoints
+        if load_balancing.is_usable(endpoint, now_ns)
+        and (any_permitted or endpoint.endpoint_id in part.run_endpoint_ids)
+    ]
+    untried = [
+        endpoint
+        for endpoint in permitted
+        if endpoint.endpoint_id not in part.tried
+    ]
+    return untried or permitted
+
+
+def may_retry(request: Request, part: Part, now_ns: int) -> bool:
+    """Returns whether a failed part may be sent again."""
+    if now_ns + _MIN_RETRY_TIME_NS >= request.deadline_ns:
+        return False
+    if part.send_count >= _MAX_SENDS:
+        return False
+    if not request.route.idempotent or request.route.max_attempts == 1:
+        return part.possible_runs == 0
+    return True
+
+
 def start_attempt(
     world: ForwardWorld,
     request: Request,
@@ -124,6 +167,7 @@
     part = request.parts[attempt.part_index]
     attempt.sent_ns = now_ns
     part.possible_runs += 1
+    part.run_endpoint_ids.append(endpoint.endpoint_id)
     part.send_count += 1
     load_balancing.record_sent(endpoint, now_ns)
     left_ms = (request.deadline_ns - now_ns) // NS_PER_MS
@@ -204,14 +248,15 @@
         self, world: ForwardWorld, request: Request, index: int, now_ns: int
     ) -> None:
         part = request.parts[index]
-        untried = untried_endpoints(world, part, now_ns)
-        if not untried and part.tried:
-            part.tried.clear()
-            untried = untried_endpoints(world, part, now_ns)
-        if not untried:
+        permitted = permitted_endpoints(world, request, part, now_ns)
+        if not permitted:
             mark_missing(world, request, part, MissingCause.NO_ENDPOINT)
             return
-        connectable = [e for e in untried if connections.has_capacity(world, e)]
+        connectable = [
+            endpoint
+            for endpoint in permitted
+            if connections.has_capacity(world, endpoint)
+        ]
         if not connectable:
             part.state = PartState.WAITING
             part.cause = MissingCause.NO_CONNECTION
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -113,7 +113,12 @@
         cancelled = RelayCancel(relay_id, world.this_node.peer_address)
         world.emit(SendToNode(relay.peer_address, cancelled))
         _end_failed_relay(
-            world, request, relay, "no reply in time", may_have_run=True
+            world,
+            request,
+            relay,
+            "no reply in time",
+            now_ns,
+            may_have_run=True,
         )
 
 
@@ -193,6 +198,7 @@
         part.hedge_relay_id = relay.relay_id
         part.hedged = True
         part.possible_runs += 1
+        part.relayed_runs += 1
         part.send_count += 1
         world.retry_budget(part.service).count_extra(now_ns)
         world.counters.hedges += 1
@@ -251,6 +257,8 @@
     request: Request,
     relay: Relay,
     why: str,
+    now_ns: int,
+    *,
     may_have_run: bool,
 ) -> None:
     world.relays.pop(relay.relay_id, None)
@@ -266,7 +274,7 @@
     for index in relay.part_indexes:
         part = request.parts[index]
         if relay.is_hedge:
-            _end_failed_hedge(world, request, part)
+            _end_failed_hedge(world, request, part, now_ns)
         elif part.state is PartState.RELAYED:
             if may_have_run:
                 _count_possible_run(world, request, part)
@@ -282,13 +290,13 @@
 
 
 def _end_failed_hedge(
-    world: ForwardWorld, request: Request, part: Part
+    world: ForwardWorld, request: Request, part: Part, now_ns: int
 ) -> None:
     """Ends the relayed hedge of a part that brought no answer."""
     part.hedge_relay_id = 0
     if part.state is not PartState.RUNNING or part.attempts:
         return
-    if part.possible_runs >= request.route.max_attempts:
+    if not placement.may_retry(request, part, now_ns):
         placement.mark_missing(world, request, part, MissingCause.RELAY)
         return
     part.state = PartState.PENDING
@@ -345,7 +353,7 @@
                     request.arrived_ns
                 )
         _end_failed_relay(
-            world, request, relay, "not connected", may_have_run=False
+            world, request, relay, "not connected", now_ns, may_have_run=False
         )
 
     def _hedge_locally(
@@ -359,6 +367,7 @@
         for index in relay.part_indexes:
             part = request.parts[index]
             part.possible_runs -= 1
+            part.relayed_runs -= 1
             part.send_count -= 1
             part.hedge_at_ns = now_ns
         wakeups.schedule_wakeup(world, request, now_ns)
@@ -388,7 +397,7 @@
             elif reply.more:
                 continue
             elif relay.is_hedge:
-                _end_failed_hedge(world, request, part)
+                _end_failed_hedge(world, request, part, now_ns)
             elif part.state is PartState.RELAYED:
                 self._on_part_missing(world, request, index, now_ns)
 
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -73,7 +73,6 @@
     NO_CONNECTION = "no_connection"
     REFUSED = "refused"
     FAILED = "failed"
-    TIMEOUT = "timeout"
     BUDGET = "budget"
     RELAY = "relay"
 
@@ -87,6 +86,9 @@
       tried: ids of the endpoints that were chosen for it, in order.
       possible_runs: how many endpoints may have run it, including those in
         flight.
+      run_endpoint_ids: the endpoints of this node that may have run it; an
+        endpoint occurs once for each send.
+      relayed_runs: how many endpoints may have run it for another node.
       send_count: how often it was sent to an endpoint, or may have been sent
         to one by a relay.
       last_failure: the last signed failure that an endpoint answered with.
@@ -102,6 +104,8 @@
     attempts: list[int] = field(default_factory=list)
     tried: list[str] = field(default_factory=list)
     possible_runs: int = 0
+    run_endpoint_ids: list[str] = field(default_factory=list)
+    relayed_runs: int = 0
     send_count: int = 0
     answer: EndpointAnswer | None = None
     last_failure: EndpointAnswer | None = None
