Use no endpoint that left before a restart, and send the last answers before the exit

Causes, found by looking for what went wrong for operators of similar systems: - A list from the store shows no removals, so a restarted node seemed to know less than a peer that lags; it took the peer's list, with endpoints that had left, and its own watch never removed them again. Now such a list counts only if it is newer than what the store has told. - At a planned stop the process ended while answers were still in its buffers. Now it waits for them, up to 0.4 s. - The limit on pipelined requests never applied; CONNECT got two answers; a request with two Host fields was served. - Settings that need a restart were applied to the running node, and a change between the start and the watch of the file was missed.

Also removes two fields and a cause that nothing used.

Tests: eight, all of which fail before.

--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import cast
 
+import anyio
 import httptools
 from absl import logging
 
@@ -77,6 +78,12 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._closing_idle = False
+        self._all_closed = asyncio.Event()
+
+    @property
+    def connection_count(self) -> int:
+        """Returns the connections that are open or have unsent bytes."""
+        return len(self._connections)
 
     async def start(self, address: str) -> None:
         """Starts listening on an IP:PORT address.
@@ -120,6 +127,14 @@
             self._server.close()
         for connection in list(self._connections):
             connection.close()
+        if not self._connections:
+            self._all_closed.set()
+
+    async def drain(self, timeout_s: float) -> None:
+        """Stops, and waits until all responses are sent, up to a time limit."""
+        self.stop()
+        with anyio.move_on_after(timeout_s):
+            await self._all_closed.wait()
 
     def add_pending(
         self, client_id: int, connection: "_ServerConnection"
@@ -137,6 +152,8 @@
         client_id = connection.client_id
         if client_id and self._pending.pop(client_id, None) is not None:
             self.handler.on_disconnect(client_id)
+        if not self._connections:
+            self._all_closed.set()
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
@@ -164,6 +181,7 @@
         self._queued: deque[tuple[HttpRequest, bool]] = deque()
         self._keep_alive = True
         self._error: tuple[int, bytes] | None = None
+        self._upgrade_requested = False
         self._discarding_until_s = 0.0
         self._waiting_since_s = self._loop.time()
         self._in_message = False
@@ -189,14 +207,14 @@
         self._server.remove_connection(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._discarding_until_s:
+        if self._discarding_until_s or self._error or self._upgrade_requested:
             return
         if not self._headers_done:
             self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._error = (400, b"upgrades are not served")
+            self._on_upgrade()
         except httptools.HttpParserError as error:
             if self._error is None:
                 logging.info("malformed request: %s", error)
@@ -206,6 +224,17 @@
             self._error = (431, b"the header is too large")
         self._process_next()
 
+    def _on_upgrade(self) -> None:
+        # What follows is in another protocol, so nothing more is read.
+        self._upgrade_requested = True
+        if not self._queued:
+            return
+        request, _ = self._queued.pop()
+        if request.method == b"CONNECT":
+            self._error = (400, b"tunnels are not served")
+            return
+        self._queued.append((request, False))
+
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
@@ -232,6 +261,9 @@
         )
         if size > self._server.limits.max_header_bytes:
             self._error = (431, b"the header is too large")
+        hosts = sum(name.lower() == b"host" for name, _ in self._headers)
+        if hosts > 1:
+            self._error = (400, b"the request has more than one Host")
         if not self.client_id and self._expects_continue():
             assert self._transport is not None
             self._transport.write(_CONTINUE_RESPONSE)
@@ -252,6 +284,8 @@
     def on_message_complete(self) -> None:
         self._in_message = False
         self._header_bytes = 0
+        if len(self._queued) >= _MAX_PIPELINED_REQUESTS:
+            self._error = self._error or (400, b"too many requests at once")
         if self._error is not None:
             return
         request = HttpRequest(
@@ -328,8 +362,6 @@
             self._server.handler.on_request(self.client_id, request)
         elif self._error is not None:
             self._reject(*self._error)
-        elif len(self._queued) > _MAX_PIPELINED_REQUESTS:
-            self._reject(400, b"too many requests at once")
 
     def _reject(self, status: int, detail: bytes) -> None:
         self._keep_alive = False
--- a/src/snipesaddle/_internal/daemon/forward_node.py
+++ b/src/snipesaddle/_internal/daemon/forward_node.py
@@ -47,6 +47,8 @@
 # Allocations between two garbage collections; each collection pauses the event
 # loop.
 _GC_THRESHOLD_OBJECTS = 20_000
+# How long the last answers may take to reach slow clients.
+_DRAIN_TIMEOUT_S = 0.4
 
 
 def build_world(settings: ForwardSettings, incarnation: str) -> ForwardWorld:
@@ -140,6 +142,7 @@
             self._world, ForwardSchedule(), dispatcher.dispatch
         ).start()
         await dispatcher.stopped.wait()
+        await frontend.drain(_DRAIN_TIMEOUT_S)
         self._log.write("stopped", {})
 
     def _deliver(self, store: RangeStore, message: object) -> None:
--- a/src/snipesaddle/_internal/daemon/settings_watch.py
+++ b/src/snipesaddle/_internal/daemon/settings_watch.py
@@ -15,6 +15,7 @@
 )
 
 _CHECK_INTERVAL_S = 1.0
+_SIGNAL = "signal"
 # Sections that are read only at start-up; changing them needs a restart.
 _RESTART_ONLY_SECTIONS = ("node", "event_loop", "seed")
 
@@ -38,7 +39,9 @@
         self._settings = settings
         self._log = log
         self._apply = apply
-        self._last_stat = self._file_stat()
+        # The file may have changed since the settings were read, so the first
+        # check reads it again.
+        self._last_stat: tuple[int, int, int] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -51,7 +54,7 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def reload(self, trigger: str = "signal") -> None:
+    def reload(self, trigger: str = _SIGNAL) -> None:
         """Reads the file again and applies the settings if any changed."""
         self._last_stat = self._file_stat()
         try:
@@ -68,7 +71,14 @@
             for name in changed
             if name.partition(".")[0] in _RESTART_ONLY_SECTIONS
         ]
+        unchanged = {
+            name: getattr(self._settings, name)
+            for name in _RESTART_ONLY_SECTIONS
+        }
+        settings = msgspec.structs.replace(settings, **unchanged)
         self._settings = settings
+        if not changed and trigger != _SIGNAL:
+            return
         self._log.write(
             "reloaded",
             {
--- a/src/snipesaddle/_internal/ports/forwarding.py
+++ b/src/snipesaddle/_internal/ports/forwarding.py
@@ -58,6 +58,10 @@
     def close_idle(self) -> None:
         """Closes idle client connections, now and whenever one becomes idle."""
 
+    @abc.abstractmethod
+    async def drain(self, timeout_s: float) -> None:
+        """Stops listening and waits until all answers are sent."""
+
 
 class RangeStore(abc.ABC):
     """Reads ranges of the platform's store and writes this node's record.
--- a/src/snipesaddle/_internal/systems/forwarding/config_activation.py
+++ b/src/snipesaddle/_internal/systems/forwarding/config_activation.py
@@ -32,9 +32,7 @@
         self, world: ForwardWorld, config: RouteConfig, now_ns: int
     ) -> None:
         previous = world.active_config.version
-        world.active_config = ActiveConfig(
-            config, RouteIndex(config.routes), now_ns
-        )
+        world.active_config = ActiveConfig(config, RouteIndex(config.routes))
         names = {route.name for route in config.routes}
         for removed in world.split_credits.keys() - names:
             del world.split_credits[removed]
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -18,6 +18,7 @@
     Change,
     Item,
     Range,
+    SyncStage,
     UnreadableItem,
 )
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
@@ -80,7 +81,7 @@
     def _apply_peer_list(
         self, world: ForwardWorld, share: EndpointsShare, now_ns: int
     ) -> None:
-        if share.revision <= world.endpoints_revision:
+        if share.revision <= self._known_revision(world):
             return
         world.endpoints_revision = share.revision
         world.peer_list_revision = share.revision
@@ -100,6 +101,17 @@
             endpoints=len(share.entries),
         )
 
+    def _known_revision(self, world: ForwardWorld) -> int:
+        """Returns the revision up to which all changes are known.
+
+        A list from the store shows no removals, so the newest change that this
+        node has seen can be older than the list itself.
+        """
+        cache = world.range_caches[Range.ENDPOINTS]
+        if cache.stage is SyncStage.WATCH:
+            return max(world.endpoints_revision, cache.revision)
+        return world.endpoints_revision
+
     def _upsert(
         self, world: ForwardWorld, entry: EndpointEntry, now_ns: int
     ) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/load_balancing.py
+++ b/src/snipesaddle/_internal/systems/forwarding/load_balancing.py
@@ -50,7 +50,6 @@
 
 def record_sent(endpoint: Endpoint, now_ns: int) -> None:
     """Records that an attempt was written to an endpoint."""
-    endpoint.last_sent_ns = now_ns
     if endpoint.no_answer_since_ns == 0:
         endpoint.no_answer_since_ns = now_ns
 
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -66,7 +66,6 @@
     latency_ratio: float = 1.0
     latency_ratio_updated_ns: int = 0
     no_answer_since_ns: int = 0
-    last_sent_ns: int = 0
     consecutive_failures: int = 0
     ejected_until_ns: int = 0
     error_rate: float = 0.0
--- a/src/snipesaddle/_internal/tables/forwarding/routes.py
+++ b/src/snipesaddle/_internal/tables/forwarding/routes.py
@@ -119,7 +119,6 @@
         default_factory=lambda: RouteConfig(0, (), {}, ClientLimits())
     )
     index: RouteIndex = field(default_factory=RouteIndex)
-    in_force_since_ns: int = 0
 
     @property
     def version(self) -> int:
--- a/src/snipesaddle/platform/frontend.py
+++ b/src/snipesaddle/platform/frontend.py
@@ -233,6 +233,10 @@
         """Closes idle client connections, now and after each later response."""
         self._server.close_idle()
 
+    async def drain(self, timeout_s: float) -> None:
+        """Stops listening and waits until all answers are sent."""
+        await self._server.drain(timeout_s)
+
 
 def _text_response(body: bytes) -> tuple[Headers, bytes]:
     fields = (
--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -51,9 +51,11 @@
         self.answering = answering
         self.requests: list[HttpRequest] = []
         self.gone: list[int] = []
+        self.last_client_id = 0
 
     def on_request(self, client_id: int, request: HttpRequest) -> None:
         self.requests.append(request)
+        self.last_client_id = client_id
         if not self.answering:
             return
         headers = ((b"Content-Length", b"%d" % len(request.body)),)
@@ -271,6 +273,86 @@
     assert b" 431 " in received
 
 
+async def test_a_tunnel_is_refused_with_one_answer() -> None:
+    echo = Echo()
+    content = b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\nbytes of the tunnel"
+    received = await spoken(echo, content)
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert b" 400 " in received
+    assert not echo.requests
+
+
+async def test_an_upgrade_is_answered_once_without_it() -> None:
+    echo = Echo()
+    content = (
+        b"GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
+        b"Upgrade: websocket\r\n\r\nbytes in another protocol"
+    )
+    received = await spoken(echo, content)
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert b" 200 " in received
+    assert b"Connection: close" in received
+
+
+async def test_two_hosts_are_refused() -> None:
+    echo = Echo()
+    content = b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n"
+    received = await spoken(echo, content)
+    assert b" 400 " in received
+    assert not echo.requests
+
+
+async def test_pipelined_requests_are_limited() -> None:
+    echo = Echo(answering=False)
+    address = await started(echo)
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 100)
+    with anyio.fail_after(2):
+        while not echo.requests:
+            await anyio.sleep(0.01)
+    echo.answering = True
+    no_headers = ((b"Content-Length", b"0"),)
+    echo.server.respond(echo.last_client_id, 200, b"OK", no_headers, b"")
+    received = b""
+    with anyio.move_on_after(0.5):
+        while piece := await reader.read(1_000):
+            received += piece
+    writer.close()
+    echo.server.stop()
+    assert len(echo.requests) < 20
+    assert received.count(b" 400 ") == 1
+    assert received.count(b"HTTP/1.1 200 ") == len(echo.requests)
+
+
+async def test_a_stop_sends_what_a_slow_client_has_not_read() -> None:
+    body = b"x" * 4_000_000
+    echo = Echo()
+    echo.server.limits = ServerLimits(max_body_bytes=len(body))
+    address = await started(echo)
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+    writer.write(head % len(body) + body)
+    with anyio.fail_after(5):
+        while not echo.requests:
+            await anyio.sleep(0.01)
+    received = bytearray()
+
+    async def read_slowly() -> None:
+        while piece := await reader.read(200_000):
+            received.extend(piece)
+            await anyio.sleep(0.005)
+
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(read_slowly)
+            assert echo.server.connection_count == 1
+            await echo.server.drain(2.0)
+            assert echo.server.connection_count == 0
+    assert received.endswith(body)
+
+
 class Options:
     """Records the options set on a socket."""
 
--- a/tests/unit/forwarding/test_settings.py
+++ b/tests/unit/forwarding/test_settings.py
@@ -79,6 +79,22 @@
     watched.path.write_text(TEXT.replace("zone: a", "zone: b"))
     watched.watch.reload()
     assert watched.log.lines[0]["needs_restart"] == ["node.zone"]
+    assert all(settings.node.zone == "a" for settings in watched.applied)
+
+
+async def test_a_change_before_the_watch_began_is_read(tmp_path: Path) -> None:
+    path = tmp_path / "settings.yaml"
+    path.write_text(TEXT)
+    settings = load_settings(path)
+    path.write_text(TEXT.replace(":6", ":8"))
+    applied: list[ForwardSettings] = []
+    watch = SettingsWatch(path, settings, Lines(), applied.append)
+    watch.start()
+    with anyio.fail_after(10):
+        while not applied:
+            await anyio.sleep(0.05)
+    watch.stop()
+    assert applied[0].store.address == "127.0.0.1:8"
 
 
 async def test_a_file_that_changes_without_a_signal_is_read(
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -288,3 +288,16 @@
     endpoint_watches(ticks)
     lag_behind(ticks, 10, beats=20)
     assert endpoint_watches(ticks) == 0
+
+
+def test_an_endpoint_that_left_before_a_restart_is_not_used_again() -> None:
+    """A restarted node lists the store; a peer that lags sends its list."""
+    ticks = ForwardTicks([pass_route()], [entry("f2", "file")])
+    ticks.tick(
+        events.RangeListed(
+            Range.ENDPOINTS, {"f2": entry("f2", "file")}, 100, "", False, 80
+        )
+    )
+    left = (entry("f1", "file"), entry("f2", "file"))
+    ticks.tick(EndpointsShare(90, left))
+    assert set(ticks.world.endpoints) == {"f2"}
