Send heartbeats between zones from active node to active node only

Change: an active node sends heartbeats to the active nodes and to its own zone. Those to idle nodes carry the newest records of the active nodes of other zones; a record that is not newer is no sign of life. A node that starts to serve or leaves tells all nodes at once.

Tests: four in test_fleet.

--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -85,13 +85,12 @@
     Attributes:
       heartbeat_ms: heartbeat interval while a node knows at most `small` nodes,
         itself included; doubled while it knows more.
-      small: the size up to which a fleet is small; in a small fleet, nodes that
-        are not active also send heartbeats to all others, up to `reach`.
+      small: the size up to which a fleet is small; in a small fleet, all nodes
+        send heartbeats to each other, up to `reach`.
       missed_beats: a node is down if no heartbeat arrives for this many
         heartbeat intervals.
-      reach: maximum number of nodes that a node sends heartbeats to if it is
-        active, if the fleet is small or if it knows no active node; any other
-        node sends them to all active nodes of its zone, without this limit.
+      reach: maximum number of nodes that a node sends heartbeats to if the
+        fleet is small or it knows no active node.
       min_active: minimum number of active nodes, if there are as many.
       attempts_per_node: attempts per second for one active node; above that
         average, more nodes become active.
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -37,38 +37,67 @@
 def heartbeat_targets(world: ForwardWorld) -> list[PeerNode]:
     """Returns the nodes that this one sends its heartbeats to.
 
-    In a small fleet, while no node is known to be active, and from an active
-    node, heartbeats go to all nodes, up to the setting `reach`: first to the
-    active nodes and those of the same zone. Other nodes send only to the active
-    nodes of their own zone, because traffic between zones is expensive.
+    In a small fleet, and while no node is known to be active, heartbeats go to
+    all nodes, up to the setting `reach`. Otherwise traffic between zones, which
+    is expensive, is left to the active nodes: they send heartbeats to each
+    other, to all nodes of their zone, and to zones without an active node.
+    Idle nodes send them to the active nodes of their zone.
     """
     fleet = world.fleet
     nodes = list(fleet.nodes.values())
     small = len(nodes) < world.settings.fleet.small
-    if small or not fleet.active_node_ids or activity.is_active(world):
-        nodes.sort(key=lambda node: _heartbeat_rank(world, node))
+    if small or not fleet.active_node_ids:
         return nodes[: world.settings.fleet.reach]
-    return [
-        node
-        for node_id, node in fleet.nodes.items()
-        if node_id in fleet.active_node_ids
-        and node.record.zone == world.this_node.zone
-    ]
+    is_active = activity.is_active(world)
+    active_zones = {
+        node.record.zone
+        for node in nodes
+        if node.record.node_id in fleet.active_node_ids
+    }
+    targets = []
+    for node in nodes:
+        is_same_zone = node.record.zone == world.this_node.zone
+        if node.record.node_id in fleet.active_node_ids:
+            is_target = is_active or is_same_zone
+        else:
+            is_target = is_active and (
+                is_same_zone or node.record.zone not in active_zones
+            )
+        if is_target:
+            targets.append(node)
+    return targets
 
 
-def _heartbeat_rank(world: ForwardWorld, node: PeerNode) -> int:
-    if node.record.node_id in world.fleet.active_node_ids:
-        return 0
-    return 1 if node.record.zone == world.this_node.zone else 2
+def send_heartbeats(world: ForwardWorld, now_ns: int) -> None:
+    """Sends a heartbeat to each of the heartbeat targets."""
+    record = this_node_record(world)
+    short = NodeBeat(record)
+    full = NodeBeat(record, _other_active_records(world, now_ns))
+    for node in heartbeat_targets(world):
+        is_idle = node.record.node_id not in world.fleet.active_node_ids
+        heartbeat = full if is_idle else short
+        world.emit(SendToNode(node.record.peer_address, heartbeat))
 
 
-def send_heartbeats(world: ForwardWorld) -> None:
-    """Sends a heartbeat to each of the heartbeat targets."""
+def announce_phase(world: ForwardWorld) -> None:
+    """Tells all nodes at once that this node starts to serve or to leave."""
     heartbeat = NodeBeat(this_node_record(world))
-    for node in heartbeat_targets(world):
+    for node in world.fleet.nodes.values():
         world.emit(SendToNode(node.record.peer_address, heartbeat))
 
 
+def _other_active_records(
+    world: ForwardWorld, now_ns: int
+) -> tuple[NodeRecord, ...]:
+    if not activity.is_active(world):
+        return ()
+    return tuple(
+        node.record
+        for node in activity.live_active_peers(world, now_ns)
+        if node.record.zone != world.this_node.zone and node.last_heard_ns
+    )
+
+
 class FleetSystem(TickSystem[ForwardWorld]):
     """Maintains the table of the other nodes and sends the heartbeats."""
 
@@ -84,8 +113,8 @@
             world.range_changes[Range.NODES] = []
             for change in changes:
                 self._apply_item(world, change.key, change.item, now_ns)
-        records = [beat.node for beat in world.inbox.take(NodeBeat)]
-        containment.run_each(world, records, self._on_heartbeat, now_ns)
+        beats = world.inbox.take(NodeBeat)
+        containment.run_each(world, beats, self._on_beat, now_ns)
         for _ in world.timers.pop_due(TimerKind.FLEET_HEARTBEAT, now_ns):
             due_ns = now_ns + activity.heartbeat_interval_ns(world)
             world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, due_ns)
@@ -97,7 +126,7 @@
         self._update_attempt_rate(world, now_ns)
         self._update_recent_max_size(world, now_ns)
         activity.refresh_active(world, now_ns)
-        send_heartbeats(world)
+        send_heartbeats(world, now_ns)
         self._remove_expired(world, now_ns)
 
     def _update_attempt_rate(self, world: ForwardWorld, now_ns: int) -> None:
@@ -142,11 +171,7 @@
             world.log("node_added", peer=record.node_id, zone=record.zone)
             return node
         old = node.record
-        newer = (record.incarnation, record.sequence) > (
-            old.incarnation,
-            old.sequence,
-        )
-        if not newer:
+        if not _is_newer(record, old):
             return node
         if record.incarnation != old.incarnation:
             node.added_ns = now_ns
@@ -160,7 +185,21 @@
         node.record = record
         return node
 
-    def _on_heartbeat(
+    def _on_beat(
+        self, world: ForwardWorld, beat: NodeBeat, now_ns: int
+    ) -> None:
+        self._on_record(world, beat.node, now_ns)
+        for record in beat.others:
+            if record.node_id == world.this_node.node_id:
+                continue
+            known = world.fleet.nodes.get(record.node_id)
+            # Two nodes pass on the same records; an old one is no sign of life.
+            if known is None or _is_newer(record, known.record):
+                self._on_record(world, record, now_ns)
+        node = world.fleet.nodes[beat.node.node_id]
+        peer_sync.sync_if_behind(world, node, beat.node, now_ns)
+
+    def _on_record(
         self, world: ForwardWorld, record: NodeRecord, now_ns: int
     ) -> None:
         node = self._upsert(world, record, now_ns)
@@ -173,7 +212,6 @@
             fleet.endpoints_revision, record.endpoints_revision
         )
         fleet.config_version = max(fleet.config_version, record.config_version)
-        peer_sync.sync_if_behind(world, node, record, now_ns)
 
     def _remove_expired(self, world: ForwardWorld, now_ns: int) -> None:
         for node_id, node in list(world.fleet.nodes.items()):
@@ -193,3 +231,10 @@
         if size >= fleet.recent_max_size or expired:
             fleet.recent_max_size = size
             fleet.recent_max_seen_ns = now_ns
+
+
+def _is_newer(record: NodeRecord, known: NodeRecord) -> bool:
+    return (record.incarnation, record.sequence) > (
+        known.incarnation,
+        known.sequence,
+    )
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -12,9 +12,15 @@
 
 
 class NodeBeat(msgspec.Struct, frozen=True, array_like=True):
-    """A heartbeat with the current record of its sender."""
+    """A heartbeat with the current record of its sender.
+
+    Attributes:
+      others: the newest records of the active nodes of other zones, which send
+        no heartbeats of their own to the idle nodes of this zone.
+    """
 
     node: NodeRecord
+    others: tuple[NodeRecord, ...] = ()
 
 
 class ConfigShare(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/unit/forwarding/test_fleet.py
+++ b/tests/unit/forwarding/test_fleet.py
@@ -1,11 +1,14 @@
 """Which nodes the directory lists, and how a node shuts down."""
 
+import msgspec
 import pytest
 from standins.forwarding import HOST, ForwardTicks, entry, merge_route
 
-from snipesaddle._internal.systems.forwarding import connections
+from snipesaddle._internal.systems.forwarding import activity, connections
+from snipesaddle._internal.systems.forwarding.fleet import heartbeat_targets
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.fleet import NodePhase
+from snipesaddle._internal.tables.forwarding.messages import NodeBeat
 
 
 @pytest.fixture
@@ -74,3 +77,71 @@
     ticks.advance(500, 100)
     shared = connections.connection_quota(ticks.world, endpoint)
     assert shared * 5 <= 20 < alone * 5
+
+
+def large_fleet() -> ForwardTicks:
+    """Returns node e1 of a fleet of three zones with few active nodes."""
+    ticks = ForwardTicks([merge_route(1)], [entry("s0", "s0")])
+    for _ in range(8):
+        for number in range(30):
+            ticks.beat(f"n{number}", zone="abc"[number % 3])
+        ticks.advance(500, 100)
+    return ticks
+
+
+def heartbeats(ticks: ForwardTicks) -> dict[str, NodeBeat]:
+    ticks.taken(commands.SendToNode)
+    ticks.advance(1_000, 100)
+    return {
+        sent.peer_address: sent.message
+        for sent in ticks.taken(commands.SendToNode)
+        if isinstance(sent.message, NodeBeat)
+    }
+
+
+def test_heartbeats_between_zones_are_left_to_active_nodes() -> None:
+    ticks = large_fleet()
+    fleet = ticks.world.fleet
+    for is_active in (False, True):
+        if activity.is_active(ticks.world) != is_active:
+            ids = fleet.active_node_ids ^ {ticks.world.this_node.node_id}
+            fleet.active_node_ids = frozenset(ids)
+        targets = heartbeat_targets(ticks.world)
+        zones = {
+            node.record.zone
+            for node in targets
+            if node.record.node_id not in fleet.active_node_ids
+        }
+        assert zones == ({"a"} if is_active else set())
+        assert len(targets) < 25
+
+
+def test_an_idle_node_learns_of_the_active_nodes_of_other_zones() -> None:
+    ticks = large_fleet()
+    beat = next(iter(heartbeats(ticks).values()))
+    known = ticks.world.fleet.nodes["n1"].record
+    later = msgspec.structs.replace(
+        known, sequence=known.sequence + 1, phase=NodePhase.LEAVING
+    )
+    teller = ticks.world.fleet.nodes["n0"].record
+    ticks.tick(NodeBeat(teller, (later, beat.node)))
+    assert ticks.world.fleet.nodes["n1"].record.phase is NodePhase.LEAVING
+    assert ticks.world.this_node.node_id not in ticks.world.fleet.nodes
+
+
+def test_an_old_record_that_is_passed_on_is_no_sign_of_life() -> None:
+    ticks = large_fleet()
+    node = ticks.world.fleet.nodes["n1"]
+    heard_ns = node.last_heard_ns
+    ticks.advance(5_000, 100)
+    teller = ticks.world.fleet.nodes["n0"].record
+    ticks.tick(NodeBeat(teller, (node.record,)))
+    assert node.last_heard_ns == heard_ns
+
+
+def test_a_node_that_leaves_tells_all_nodes_at_once() -> None:
+    ticks = large_fleet()
+    ticks.taken(commands.SendToNode)
+    ticks.tick(events.DrainRequested())
+    told = {sent.peer_address for sent in ticks.taken(commands.SendToNode)}
+    assert told >= {f"n{number}:2" for number in range(30)}
