Let a starting node wait for a node to follow before it watches the store

Change: in a fleet with idle nodes the first watch after a list starts after the idle gap; records of nodes are watched with gaps of 2 s and 10 s.

Tests: two in test_following.

--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -68,8 +68,8 @@
     watch_wait_ms: Positive = 30_000
     watch_gap_ms: Positive = 300
     idle_gap_ms: Positive = 1_200
-    node_gap_ms: Positive = 1_000
-    idle_node_gap_ms: Positive = 5_000
+    node_gap_ms: Positive = 2_000
+    idle_node_gap_ms: Positive = 10_000
     retry_min_ms: Positive = 100
     retry_max_ms: Positive = 1_000
     start_retry_ms: Positive = 200
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -125,7 +125,19 @@
             items=len(items),
             revision=cache.revision,
         )
-        self._schedule(world, cache, now_ns)
+        delay_ns = self._first_watch_delay_ns(world, cache)
+        self._schedule(world, cache, now_ns + delay_ns)
+
+    def _first_watch_delay_ns(
+        self, world: ForwardWorld, cache: RangeCache
+    ) -> int:
+        """Returns how long to wait for the heartbeats of nodes to follow."""
+        config_known = world.active_config.version or world.received_configs
+        if cache.range is Range.CONFIG and not config_known:
+            return 0
+        if len(world.fleet.nodes) < world.settings.fleet.min_active:
+            return 0
+        return world.settings.store.idle_gap_ms * NS_PER_MS
 
     def _on_changes(
         self, world: ForwardWorld, event: RangeChanged, now_ns: int
--- a/tests/unit/forwarding/test_following.py
+++ b/tests/unit/forwarding/test_following.py
@@ -194,3 +194,27 @@
     (change,) = message.changes
     assert isinstance(change.entry, EndpointEntry)
     assert change.entry.registration is Registration.DRAINING
+
+
+def test_a_node_that_starts_waits_for_a_node_to_follow() -> None:
+    ticks = node_that_is(active=False)
+    listed = {"f1": entry("f1", "file")}
+    ticks.fail(Range.ENDPOINTS, history_lost=True)
+    ticks.advance(10)
+    ticks.taken(commands.WatchRange)
+    ticks.tick(events.RangeListed(Range.ENDPOINTS, listed, 20, "", False, 10))
+    assert Range.ENDPOINTS not in watched(ticks)
+    beat_all(ticks, 3_000)
+    assert Range.ENDPOINTS not in watched(ticks)
+
+
+def test_a_node_that_starts_alone_watches_within_its_wait() -> None:
+    ticks = node_that_is(active=False)
+    listed = {"f1": entry("f1", "file")}
+    ticks.advance(20_000, 500)
+    ticks.fail(Range.ENDPOINTS, history_lost=True)
+    ticks.advance(10)
+    ticks.taken(commands.WatchRange)
+    ticks.tick(events.RangeListed(Range.ENDPOINTS, listed, 20, "", False, 10))
+    ticks.advance(1_300, 50)
+    assert Range.ENDPOINTS in watched(ticks)
