Contain unexpected errors and endless responses of the daemon, too

Cause: an error in a system, a command or a call of snipesaddled ended its process or left a read that was never repeated; a response body was collected without a limit; a relay's events were handled without containment.

Change: a system's error ends its run only and is logged by the loop; every started call ends in an event, a failed one as a call that may have run; bodies over 16 MiB fail the call. relaying.py is split: relay_replies handles what comes back. A first list of endpoints is logged in one line, which crowded out the line of a node that starts to serve.

--- a/src/snipesaddle/_internal/adapters/http_client.py
+++ b/src/snipesaddle/_internal/adapters/http_client.py
@@ -15,6 +15,8 @@
 TRANSPORT_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError)
 
 Headers = list[tuple[bytes, bytes]]
+# httpcore itself limits the size of the head.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +90,7 @@
         http = await self._connect()
         response = await http.handle_async_request(request)
         try:
-            content = await response.aread()
+            content = await _read_body(response)
         finally:
             await response.aclose()
         return HttpReply(response.status, content)
@@ -105,3 +107,12 @@
         # Detects that the server closed the idle connection, before bytes are
         # sent on it.
         return http.is_available() and not http.has_expired()
+
+
+async def _read_body(response: httpcore.Response) -> bytes:
+    content = bytearray()
+    async for piece in response.aiter_stream():
+        content += piece
+        if len(content) > _MAX_BODY_BYTES:
+            raise httpcore.RemoteProtocolError("response body over the limit")
+    return bytes(content)
--- a/src/snipesaddle/_internal/daemon/dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/dispatcher.py
@@ -1,6 +1,6 @@
 """Executes the commands that the systems put into the outbox."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -66,37 +66,72 @@
 
     def dispatch(self, command: commands.Command) -> None:
         """Executes one command, or starts the task that executes it."""
-        self._handlers[type(command)](command)
+        try:
+            self._handlers[type(command)](command)
+        except Exception:
+            # The other commands of the tick do not depend on this one.
+            self._count_error(f"cannot execute {type(command).__name__}")
+
+    def _start(
+        self, run: Callable[[], Awaitable[object]], on_error: object
+    ) -> None:
+        """Starts a task that ends in an event, also after an unknown error.
+
+        Args:
+          run: does the work and returns its event.
+          on_error: the event for an unexpected error.
+        """
+
+        async def contained() -> None:
+            event = on_error
+            try:
+                event = await run()
+            except Exception:
+                self._count_error("a call failed unexpectedly")
+            self._world.inbox.put(event)
+
+        self._tasks.start_soon(contained)
+
+    def _count_error(self, message: str) -> None:
+        self._world.counters.unexpected_errors += 1
+        logging.exception(message)
 
     def _start_call(self, command: commands.StartCall) -> None:
         # Registers the scope before the task runs, so that an immediate
         # CancelCall finds it.
-        scope = anyio.CancelScope()
-        self._calls[command.request.call_id] = scope
-        self._tasks.start_soon(self._run_call, command, scope)
+        call_id = command.request.call_id
+        scope = self._calls[call_id] = anyio.CancelScope()
+        # The leaf may have done the work, so the call has failed; it was not
+        # refused.
+        failed = events.CallFinished(
+            call_id=call_id,
+            leaf_id=command.leaf_id,
+            link_id=command.link_id,
+            result=CallResult.FAILED,
+            link_usable=False,
+            detail="cancelled, timed out or failed unexpectedly",
+        )
+        self._start(lambda: self._run_call(command, scope, failed), failed)
 
     async def _run_call(
-        self, command: commands.StartCall, scope: anyio.CancelScope
-    ) -> None:
+        self,
+        command: commands.StartCall,
+        scope: anyio.CancelScope,
+        failed: events.CallFinished,
+    ) -> events.CallFinished:
         finished = None
-        call_id = command.request.call_id
-        with scope:
-            with anyio.move_on_after(command.timeout_ns / _NS_PER_S):
-                finished = await self._ports.leaves.call(
-                    command.leaf_id, command.link_id, command.request
-                )
-        self._calls.pop(call_id, None)
+        try:
+            with scope:
+                with anyio.move_on_after(command.timeout_ns / _NS_PER_S):
+                    finished = await self._ports.leaves.call(
+                        command.leaf_id, command.link_id, command.request
+                    )
+        finally:
+            self._calls.pop(command.request.call_id, None)
         if finished is None:
             await self._ports.leaves.close(command.link_id)
-            finished = events.CallFinished(
-                call_id=call_id,
-                leaf_id=command.leaf_id,
-                link_id=command.link_id,
-                result=CallResult.FAILED,
-                link_usable=False,
-                detail="cancelled or timed out",
-            )
-        self._world.inbox.put(finished)
+            return failed
+        return finished
 
     def _cancel_call(self, command: commands.CancelCall) -> None:
         scope = self._calls.get(command.call_id)
@@ -104,9 +139,14 @@
             scope.cancel()
 
     def _probe(self, command: commands.Probe) -> None:
-        self._tasks.start_soon(self._run_probe, command)
+        failed = events.ProbeFinished(
+            command.leaf_id, command.link_id, None, False
+        )
+        self._start(lambda: self._run_probe(command, failed), failed)
 
-    async def _run_probe(self, command: commands.Probe) -> None:
+    async def _run_probe(
+        self, command: commands.Probe, failed: events.ProbeFinished
+    ) -> events.ProbeFinished:
         finished = None
         with anyio.move_on_after(command.timeout_ns / _NS_PER_S):
             finished = await self._ports.leaves.probe(
@@ -114,17 +154,16 @@
             )
         if finished is None:
             await self._ports.leaves.close(command.link_id)
-            finished = events.ProbeFinished(
-                command.leaf_id, command.link_id, None, False
-            )
-        self._world.inbox.put(finished)
+            return failed
+        return finished
 
     def _close_link(self, command: commands.CloseLink) -> None:
-        self._tasks.start_soon(self._run_close, command.link_id)
+        closed = events.LinkClosed(command.link_id)
+        self._start(lambda: self._run_close(closed), closed)
 
-    async def _run_close(self, link_id: int) -> None:
-        await self._ports.leaves.close(link_id)
-        self._world.inbox.put(events.LinkClosed(link_id))
+    async def _run_close(self, closed: events.LinkClosed) -> events.LinkClosed:
+        await self._ports.leaves.close(closed.link_id)
+        return closed
 
     def _answer_search(self, command: commands.AnswerSearch) -> None:
         answer = command.answer
@@ -154,43 +193,48 @@
 
     def _read_vm_list(self, command: commands.ReadVmList) -> None:
         del command
-        self._tasks.start_soon(self._run_read_vm_list)
-
-    async def _run_read_vm_list(self) -> None:
-        self._world.inbox.put(await self._ports.vm_list.read())
+        self._start(self._ports.vm_list.read, events.VmListRead(None))
 
     def _watch_head(self, command: commands.WatchHead) -> None:
-        self._tasks.start_soon(self._run_watch_head, command)
+        unknown = events.HeadRead(None)
+        self._start(lambda: self._run_watch_head(command), unknown)
 
-    async def _run_watch_head(self, command: commands.WatchHead) -> None:
+    async def _run_watch_head(
+        self, command: commands.WatchHead
+    ) -> events.HeadRead:
         try:
             head = await self._ports.configs.watch_head(
                 command.generation, command.wait_ms
             )
-            self._world.inbox.put(events.HeadRead(head))
         except StoreUnavailableError as error:
             logging.warning("%s", error)
-            self._world.inbox.put(events.HeadRead(None))
+            return events.HeadRead(None)
+        return events.HeadRead(head)
 
     def _fetch_blobs(self, command: commands.FetchBlobs) -> None:
-        self._tasks.start_soon(self._run_fetch_blobs, command)
+        unknown = events.BlobsRead({})
+        self._start(lambda: self._run_fetch_blobs(command), unknown)
 
-    async def _run_fetch_blobs(self, command: commands.FetchBlobs) -> None:
+    async def _run_fetch_blobs(
+        self, command: commands.FetchBlobs
+    ) -> events.BlobsRead:
         try:
             blobs = await self._ports.configs.read_specs(command.digests)
-            self._world.inbox.put(events.BlobsRead(blobs))
         except StoreUnavailableError as error:
             logging.warning("%s", error)
-            self._world.inbox.put(events.BlobsRead({}))
+            return events.BlobsRead({})
+        return events.BlobsRead(blobs)
 
     def _claim_key(self, command: commands.ClaimKey) -> None:
-        self._tasks.start_soon(self._run_claim_key, command)
+        # The claim may have been stored, so its owner is not known.
+        unknown = events.ClaimFinished(command.key, command.service, None)
+        self._start(lambda: self._run_claim_key(command), unknown)
 
-    async def _run_claim_key(self, command: commands.ClaimKey) -> None:
+    async def _run_claim_key(
+        self, command: commands.ClaimKey
+    ) -> events.ClaimFinished:
         owner = await self._ports.claims.claim(command)
-        self._world.inbox.put(
-            events.ClaimFinished(command.key, command.service, owner)
-        )
+        return events.ClaimFinished(command.key, command.service, owner)
 
     def _stop_frontend(self, command: commands.StopFrontend) -> None:
         del command
--- a/src/snipesaddle/_internal/daemon/tick_loop.py
+++ b/src/snipesaddle/_internal/daemon/tick_loop.py
@@ -1,6 +1,7 @@
 """The event-driven tick loop of the daemon."""
 
 import anyio
+from absl import logging
 
 from snipesaddle._internal.daemon import clock
 from snipesaddle._internal.daemon.dispatcher import Dispatcher
@@ -39,6 +40,7 @@
                 self._record_lag(now_ns - self._event_arrived_ns)
             self._wake = anyio.Event()
             commands = self._schedule.tick(self._world, now_ns)
+            self._log_errors()
             for command in commands:
                 self._dispatcher.dispatch(command)
             if self._world.inbox.is_empty():
@@ -46,6 +48,11 @@
             else:
                 await anyio.lowlevel.checkpoint()
 
+    def _log_errors(self) -> None:
+        errors, self._world.system_errors = self._world.system_errors, []
+        for error in errors:
+            logging.error("unexpected error in a system", exc_info=error)
+
     def _record_lag(self, lag_ns: int) -> None:
         load = self._world.load
         load.lag_sum_ns += lag_ns
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -52,10 +52,13 @@
         self, world: ForwardWorld, items: dict[str, Item], now_ns: int
     ) -> None:
         readable = set()
+        # The line of the list itself counts them; one each would crowd out the
+        # other lines of a starting node.
+        is_first = not world.endpoints
         for item in items.values():
             if isinstance(item, EndpointEntry):
                 readable.add(item.endpoint_id)
-                self._upsert(world, item, now_ns)
+                self._upsert(world, item, now_ns, log_added=not is_first)
         for endpoint_id in world.endpoints.keys() - readable:
             self._expire(world, world.endpoints[endpoint_id], now_ns)
         self._advance_revision(world)
@@ -113,7 +116,12 @@
         return world.endpoints_revision
 
     def _upsert(
-        self, world: ForwardWorld, entry: EndpointEntry, now_ns: int
+        self,
+        world: ForwardWorld,
+        entry: EndpointEntry,
+        now_ns: int,
+        *,
+        log_added: bool = True,
     ) -> None:
         endpoint = world.endpoints.get(entry.endpoint_id)
         if endpoint is not None and _is_new_instance(endpoint.entry, entry):
@@ -121,6 +129,8 @@
             endpoint = None
         if endpoint is None:
             endpoint = self._add(world, entry)
+            if log_added:
+                self._log_added(world, entry)
         elif endpoint.entry.registration is not entry.registration:
             world.log(
                 "endpoint_changed",
@@ -142,6 +152,9 @@
         endpoint = Endpoint(entry)
         world.endpoints[entry.endpoint_id] = endpoint
         world.pool(entry.service).endpoints.append(endpoint)
+        return endpoint
+
+    def _log_added(self, world: ForwardWorld, entry: EndpointEntry) -> None:
         world.log(
             "endpoint_added",
             endpoint=entry.endpoint_id,
@@ -149,7 +162,6 @@
             zone=entry.zone,
             registration=entry.registration.value,
         )
-        return endpoint
 
     def _expire(
         self, world: ForwardWorld, endpoint: Endpoint, now_ns: int
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -22,7 +22,9 @@
 from snipesaddle._internal.systems.forwarding.outcomes import OutcomesSystem
 from snipesaddle._internal.systems.forwarding.placement import PlacementSystem
 from snipesaddle._internal.systems.forwarding.presence import PresenceSystem
-from snipesaddle._internal.systems.forwarding.relaying import RelayingSystem
+from snipesaddle._internal.systems.forwarding.relay_replies import (
+    RelayRepliesSystem,
+)
 from snipesaddle._internal.systems.forwarding.store_sync import StoreSyncSystem
 from snipesaddle._internal.systems.tick import TickSystem
 from snipesaddle._internal.tables.forwarding.commands import Command
@@ -52,7 +54,7 @@
             OutcomesSystem(),
             ArrivalsSystem(chooser),
             GatheringSystem(),
-            RelayingSystem(),
+            RelayRepliesSystem(),
             HedgingSystem(chooser),
             PlacementSystem(chooser),
             CompletionSystem(),
--- a/src/snipesaddle/_internal/systems/schedule.py
+++ b/src/snipesaddle/_internal/systems/schedule.py
@@ -66,12 +66,20 @@
         world.counters.ticks += 1
         for _ in range(_MAX_PASSES):
             for system in self._systems:
-                system.run(world, now_ns)
+                self._run(system, world, now_ns)
             if not self._needs_another_pass(world):
                 break
         commands, world.outbox = world.outbox, []
         return commands
 
+    def _run(self, system: System, world: World, now_ns: int) -> None:
+        """Runs a system; an unexpected error ends its run only."""
+        try:
+            system.run(world, now_ns)
+        except Exception as error:
+            world.counters.unexpected_errors += 1
+            world.system_errors.append(error)
+
     def _needs_another_pass(self, world: World) -> bool:
         return bool(
             world.pending_shards
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -37,6 +37,7 @@
       wrong_snapshots: replies for another snapshot than requested.
       refused: searches that admission refused.
       claims: claims of idempotency keys.
+      unexpected_errors: errors in systems, commands and calls.
     """
 
     primary_calls: int = 0
@@ -50,6 +51,7 @@
     ticks: int = 0
     peer_messages_sent: int = 0
     peer_bytes_sent: int = 0
+    unexpected_errors: int = 0
 
 
 @dataclass(slots=True)
@@ -115,6 +117,7 @@
         service.
       declined_heirs: incarnations that refused a handover from this node.
       freed_services: services for which a link may have become free.
+      system_errors: unexpected errors of systems in this tick, to be logged.
     """
 
     settings: Settings
@@ -163,6 +166,7 @@
     declined_heirs: set[str] = field(default_factory=set)
     freed_services: set[str] = field(default_factory=set)
     load: Load = field(default_factory=Load)
+    system_errors: list[Exception] = field(default_factory=list)
     counters: Counters = field(default_factory=Counters)
     ids: "itertools.count[int]" = field(
         default_factory=lambda: itertools.count(1)
--- a/tests/functional/test_endless_responses.py
+++ b/tests/functional/test_endless_responses.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import anyio
+import httpcore
 import pytest
 from standins.forwarding import ForwardTicks, entry, pass_route
 
@@ -14,6 +15,7 @@
 )
 from snipesaddle._internal.adapters.http1.receive_budget import ReceiveBudget
 from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
+from snipesaddle._internal.adapters.http_client import HttpConnection
 from snipesaddle._internal.models.forwarding import ResponseSettings
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.inbox import Inbox
@@ -138,6 +140,25 @@
     assert server.sent_bytes - sent_bytes < READ_BYTES
 
 
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (OK + b"\r\n", b"z" * 100_000),
+        (OK + b"X: ", b"y" * 100_000),
+        (OK, b"X: y\r\n" * 10_000),
+    ],
+    ids=["body", "one-header", "many-headers"],
+)
+async def test_bytes_without_end_fail_a_call_of_the_daemon(
+    start: bytes, piece: bytes
+) -> None:
+    server = EndlessServer(start, piece)
+    connection = HttpConnection(await server.listen())
+    with anyio.fail_after(10), pytest.raises(httpcore.ProtocolError):
+        await connection.get("/v1/health")
+    await connection.aclose()
+
+
 async def test_many_servers_at_once_stay_within_the_sum() -> None:
     slow = EndlessServer(OK + b"Content-Length: 90000\r\n\r\n", b"z" * 80_000)
     address = await slow.listen()
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -301,3 +301,14 @@
     left = (entry("f1", "file"), entry("f2", "file"))
     ticks.tick(EndpointsShare(90, left))
     assert set(ticks.world.endpoints) == {"f2"}
+
+
+def test_a_first_list_is_logged_in_one_line() -> None:
+    entries = [entry(f"f{number}", "file") for number in range(300)]
+    ticks = ForwardTicks([pass_route()], entries)
+    logged = [line.event for line in ticks.taken(commands.LogDecision)]
+    assert "endpoint_added" not in logged
+    assert logged.count("serving") == 1
+    ticks.change(Range.ENDPOINTS, "g1", entry("g1", "file"))
+    logged = [line.event for line in ticks.taken(commands.LogDecision)]
+    assert logged.count("endpoint_added") == 1
