--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 SEED ?= 1
+DAYS ?= 40
 
-.PHONY: generate setup test demo check promises chaos soak bench-tail bench-slopes bench-call bench-fanout
+.PHONY: generate setup test demo check promises chaos soak bench-tail bench-slopes bench-call bench-fanout regression
 
 setup: $(STAMP)
 
@@ -44,6 +45,14 @@
 bench-call: $(STAMP)
 	$(PY) -m bench.call
 
+# Scores and hunts of the users' bench: BENCH is its program, SITES its site
+# files.
+regression:
+	for site in $(SITES); do \
+	  $(BENCH) score $$site --why "regression" && \
+	  $(BENCH) hunt $$site --days $(DAYS) --why "regression" || exit 1; \
+	done
+
 # The sample files and the OpenAPI page are generated and committed.
 generate: $(STAMP)
 	$(PY) -m tools.examples
