--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DAYS ?= 40
 
-.PHONY: generate setup test demo check promises chaos soak bench-tail bench-slopes bench-call bench-fanout regression
+.PHONY: generate setup test demo check promises chaos soak fuzz bench-tail bench-slopes bench-call bench-fanout regression
 
 setup: $(STAMP)
 
@@ -33,6 +33,10 @@
 soak: $(STAMP)
 	$(PY) -m tests.soak --seed $(SEED)
 
+fuzz: $(STAMP)
+	HYPOTHESIS_PROFILE=long $(PY) -m pytest tests/unit/test_fuzz_borders.py \
+	  tests/unit/forwarding/test_fuzz_tables.py
+
 bench-tail: $(STAMP)
 	$(PY) -m bench.tail
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,22 @@
-"""Lets the tests that KNOWN-RED.txt names fail without failing the run."""
+"""Profiles of generated tests, and tests that are known to fail.
 
+The tests that KNOWN-RED.txt names may fail without failing the run.
+"""
+
+import os
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
+
+# The same examples every time; `make fuzz` tries many others.
+settings.register_profile(
+    "ci", max_examples=100, derandomize=True, deadline=None, database=None
+)
+settings.register_profile(
+    "long", max_examples=20_000, deadline=None, database=None
+)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 _KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
