--- a/src/snipesaddle/_internal/systems/forwarding/activity.py
+++ b/src/snipesaddle/_internal/systems/forwarding/activity.py
@@ -29,8 +29,8 @@
 
     A node that has sent heartbeats is up while they keep arriving. One that
     has never sent any is up while the store holds its record; if it is
-    active, only for the suspicion time, because active nodes send heartbeats
-    to all others.
+    active, only for the suspicion time, because the heartbeats of active nodes
+    reach all others, directly or passed on.
     """
     interval_ns = heartbeat_interval_ns(world)
     suspect_ns = int(interval_ns * world.settings.fleet.missed_beats)
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -40,6 +40,7 @@
 # silently, and a store can keep a watch that it no longer serves. The time
 # doubles with each watch in a row, in case the store itself is slow.
 _STALLED_WATCH_NS = 700 * NS_PER_MS
+# How often a node that follows others checks whether it still should.
 _FOLLOW_CHECK_NS = 400 * NS_PER_MS
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -52,8 +52,8 @@
       lag_revision: the endpoints revision that it had not reached when last
         checked; 0 if it was up to date.
       lag_since_ns: since when it has lacked that revision.
-      active_since_ns: since when it has been an active node, which has to
-        send heartbeats to all others; 0 while it is not active.
+      active_since_ns: since when it has been an active node, whose heartbeats
+        reach all others; 0 while it is not active.
       no_relays_until_ns: until when nothing is relayed to it, because a relay
         to it failed.
     """
