--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -52,8 +52,8 @@
         self, world: ForwardWorld, items: dict[str, Item], now_ns: int
     ) -> None:
         readable = set()
-        # The line of the list itself counts them; one each would crowd out the
-        # other lines of a starting node.
+        # The line of the list itself counts them; one each would use up the
+        # lines that a starting node may write in a second.
         is_first = not world.endpoints
         for item in items.values():
             if isinstance(item, EndpointEntry):
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -193,7 +193,8 @@
             if record.node_id == world.this_node.node_id:
                 continue
             known = world.fleet.nodes.get(record.node_id)
-            # Two nodes pass on the same records; an old one is no sign of life.
+            # Several nodes pass on the same record; only a newer one shows that
+            # its node is up.
             if known is None or _is_newer(record, known.record):
                 self._on_record(world, record, now_ns)
         node = world.fleet.nodes[beat.node.node_id]
