Queue the changes of a range in one place

A watch and a peer's message each filtered, queued and counted the changes that a range does not have yet; both call following.queue_changes now. Corrects the docstring that says who gets heartbeats.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -1,7 +1,8 @@
 """Fleet: membership from the store, liveness from heartbeats.
 
-Active nodes send heartbeats to all other nodes. A heartbeat carries the
-versions of the configuration and of the endpoint list that its sender holds.
+Active nodes send heartbeats to each other and to their zone. A heartbeat
+carries the versions of the configuration and of the endpoint list that its
+sender holds.
 """
 
 from collections.abc import Mapping
--- a/src/snipesaddle/_internal/systems/forwarding/following.py
+++ b/src/snipesaddle/_internal/systems/forwarding/following.py
@@ -8,6 +8,8 @@
 or lags behind what any heartbeat reports.
 """
 
+from collections.abc import Iterable
+
 from snipesaddle._internal.systems.forwarding import activity, peer_sync
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import SendToNode
@@ -78,6 +80,33 @@
         fleet.behind_since_ns = now_ns
 
 
+def queue_changes(
+    world: ForwardWorld,
+    cache: RangeCache,
+    changes: Iterable[Change],
+    revision: int,
+) -> list[Change]:
+    """Queues the changes that a range does not have yet, and advances it.
+
+    A watch and a peer can deliver the same changes.
+
+    Args:
+      world: the tables.
+      cache: the range.
+      changes: changes of the range, oldest first.
+      revision: all changes up to this revision are included.
+
+    Returns:
+      The queued changes.
+    """
+    queued = [change for change in changes if change.revision > cache.revision]
+    for change in queued:
+        cache.item_revision = max(cache.item_revision, change.revision)
+    world.range_changes[cache.range].extend(queued)
+    cache.revision = max(cache.revision, revision)
+    return queued
+
+
 def pass_on_changes(
     world: ForwardWorld,
     event: RangeChanged,
@@ -175,8 +204,5 @@
             world.store.recovered_ns = max(
                 world.store.recovered_ns, recovered_ns
             )
-        for change in map(_to_change, message.changes):
-            if change.revision > cache.revision:
-                world.range_changes[Range.ENDPOINTS].append(change)
-                cache.item_revision = max(cache.item_revision, change.revision)
-        cache.revision = message.revision
+        changes = map(_to_change, message.changes)
+        queue_changes(world, cache, changes, message.revision)
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -111,7 +111,7 @@
         complete_revision = min(
             cache.first_page_revision, cache.max_listed_revision
         )
-        self._advance_item_revision(cache, complete_revision)
+        cache.item_revision = max(cache.item_revision, complete_revision)
         items, cache.listed_items = cache.listed_items, {}
         cache.after_key = ""
         cache.stage = SyncStage.WATCH
@@ -145,15 +145,10 @@
     ) -> None:
         cache = world.range_caches[event.range]
         self._on_reply(world, cache, now_ns)
-        previous_revision = cache.revision
-        following.pass_on_changes(world, event, previous_revision, now_ns)
-        cache.revision = max(cache.revision, event.revision)
-        for change in event.changes:
-            # A peer may have passed on changes in the meantime.
-            if change.revision <= previous_revision:
-                continue
-            world.range_changes[cache.range].append(change)
-            self._advance_item_revision(cache, change.revision)
+        following.pass_on_changes(world, event, cache.revision, now_ns)
+        for change in following.queue_changes(
+            world, cache, event.changes, event.revision
+        ):
             self._handle_item(world, change.key, change.item)
         pause_ns = self._watch_pause_ns(world, cache) if event.changes else 0
         self._schedule(world, cache, now_ns + pause_ns)
@@ -214,9 +209,6 @@
             world.store.recovered_ns = now_ns
             world.log("store_regained", lost_ms=lost_ms)
 
-    def _advance_item_revision(self, cache: RangeCache, revision: int) -> None:
-        cache.item_revision = max(cache.item_revision, revision)
-
     def _handle_item(
         self, world: ForwardWorld, key: str, item: Item | None
     ) -> None:
