Log what limits the retry budget of a node

At each heartbeat a node now logs the service with the most retries and hedges, its first sends, its part of the slack, and the fleet size and share from which that follows.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -11,6 +11,7 @@
     activity,
     containment,
     peer_sync,
+    retries,
 )
 from snipesaddle._internal.systems.forwarding.presence import this_node_record
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -125,6 +126,8 @@
 
     def _run_heartbeat(self, world: ForwardWorld, now_ns: int) -> None:
         self._update_attempt_rate(world, now_ns)
+        # Before the size of the fleet changes, which the budget depends on.
+        retries.log_use(world, now_ns)
         self._update_recent_max_size(world, now_ns)
         activity.refresh_active(world, now_ns)
         send_heartbeats(world, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/retries.py
+++ b/src/snipesaddle/_internal/systems/forwarding/retries.py
@@ -26,6 +26,36 @@
     return _is_within(world, service, now_ns, used_ratio)
 
 
+def log_use(world: ForwardWorld, now_ns: int) -> None:
+    """Logs the service with the most extra sends, and what limits them."""
+    if not world.retry_budgets:
+        return
+    service, budget = max(
+        world.retry_budgets.items(), key=lambda item: item[1].extra_sum
+    )
+    if not budget.extra_sum:
+        return
+    remaining = budget.remaining(
+        now_ns, world.settings.retries.ratio * _USED_BUDGET_RATIO, _slack(world)
+    )
+    world.log(
+        "retry_budget",
+        service=service,
+        requests=budget.request_sum,
+        extras=budget.extra_sum,
+        remaining=round(remaining, 1),
+        slack=round(_slack(world), 1),
+        fleet_size=world.fleet.recent_max_size,
+        active_share=round(world.fleet.active_share, 3),
+        denials=world.counters.budget_denials,
+    )
+
+
+def _slack(world: ForwardWorld) -> float:
+    slack = world.settings.retries.slack * _USED_BUDGET_RATIO
+    return fleet_shares.share_of(world, slack)
+
+
 def _is_within(
     world: ForwardWorld, service: str, now_ns: int, used_ratio: float
 ) -> bool:
