Show that restarts renew the retry budget of the fleet

A simulated fleet of four nodes, with a store, endpoints and clients on one clock, sums what all nodes send beyond the first of a request, over restarts. Running nodes stay within the budget.

--- /dev/null
+++ b/tests/standins/simulated_fleet.py
@@ -0,0 +1,388 @@
+"""Several nodes of the forwarding tier with a store, endpoints and clients.
+
+All run on one simulated clock, without I/O. Nodes can be killed and started
+again; what endpoints receive from all of them together is recorded.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from standins.forwarding import HOST
+
+from snipesaddle._internal.daemon.forward_node import build_world
+from snipesaddle._internal.models.forwarding import (
+    ForwardSettings,
+    NodeSettings,
+    RetrySettings,
+    StoreSettings,
+)
+from snipesaddle._internal.systems.forwarding.schedule import ForwardSchedule
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
+from snipesaddle._internal.tables.forwarding.messages import RelayAsk
+from snipesaddle._internal.tables.forwarding.requests import (
+    ArrivedRequest,
+    EndpointAnswer,
+)
+from snipesaddle._internal.tables.forwarding.routes import RouteConfig
+from snipesaddle._internal.tables.forwarding.store_ranges import Change, Range
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
+_STORE_MS = 4.0
+_LINK_MS = 1.5
+_STARTED_NS = NS_PER_S
+
+
+@dataclass
+class Faults:
+    """What endpoints, connections and messages do; changed while it runs.
+
+    Attributes:
+      refused_ratio: share of the attempts that an endpoint refuses to run.
+      lost_ratio: share of the attempts whose answer is lost.
+      slow_ratio: share of the attempts that take 200 ms.
+      connect_ms: how long a connection takes to open.
+      message_loss_ratio: share of the messages between nodes that are lost.
+      store_is_down: calls to the store fail.
+    """
+
+    refused_ratio: float = 0.0
+    lost_ratio: float = 0.0
+    slow_ratio: float = 0.0
+    connect_ms: float = 6.0
+    message_loss_ratio: float = 0.0
+    store_is_down: bool = False
+
+
+@dataclass
+class Running:
+    """One run of a node's process."""
+
+    name: str
+    world: ForwardWorld
+    schedule: ForwardSchedule = field(default_factory=ForwardSchedule)
+    is_ready: bool = False
+    open_connections: dict[int, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that an endpoint received."""
+
+    at_ns: int
+    request_id: bytes
+    service: str
+
+
+class SimulatedFleet:
+    """A fleet whose clock the test advances.
+
+    Attributes:
+      arrivals: all attempts that reached endpoints.
+      asked: the times at which clients sent their requests.
+      peak_connections: the most connections at one time, by endpoint.
+    """
+
+    def __init__(
+        self,
+        config: RouteConfig,
+        entries: list[EndpointEntry],
+        zones: dict[str, str],
+        retries: RetrySettings,
+        seed: int,
+    ) -> None:
+        self.now_ns = _STARTED_NS
+        self.faults = Faults()
+        self.arrivals: list[Arrival] = []
+        self.asked: list[int] = []
+        self.answers: Counter[str] = Counter()
+        self.connections: Counter[str] = Counter()
+        self.peak_connections: Counter[str] = Counter()
+        self.running: dict[str, Running] = {}
+        self._zones = zones
+        self._retries = retries
+        self._rng = random.Random(seed)
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+        self._entry_by_address = {item.address: item for item in entries}
+        self._items: dict[Range, dict[str, object]] = {
+            Range.CONFIG: {"config": config},
+            Range.ENDPOINTS: {item.endpoint_id: item for item in entries},
+            Range.NODES: {},
+        }
+        self._changes: list[tuple[int, Range, Change]] = []
+        self._revision = 10
+        self._watches: dict[tuple[int, Range], tuple[Running, int]] = {}
+
+    def at(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Calls an action later."""
+        due_ns = self.now_ns + int(delay_ms * NS_PER_MS)
+        heapq.heappush(self._queue, (due_ns, next(self._order), action))
+
+    def advance(self, ms: float) -> None:
+        """Runs everything that is due within a time."""
+        end_ns = self.now_ns + int(ms * NS_PER_MS)
+        while True:
+            due = [
+                (due_ns, run.name)
+                for run in self.running.values()
+                if (due_ns := run.world.timers.next_due_ns()) is not None
+            ]
+            timer_ns, name = min(due, default=(end_ns + 1, ""))
+            queue_ns = self._queue[0][0] if self._queue else end_ns + 1
+            if min(timer_ns, queue_ns) > end_ns:
+                break
+            self.now_ns = max(self.now_ns, min(timer_ns, queue_ns))
+            if queue_ns <= timer_ns:
+                heapq.heappop(self._queue)[2]()
+            else:
+                self._tick(self.running[name])
+        self.now_ns = end_ns
+
+    def start(self, name: str) -> None:
+        """Starts a node's process."""
+        address = f"{name}:1"
+        settings = ForwardSettings(
+            node=NodeSettings(
+                name=name,
+                zone=self._zones[name],
+                front=address,
+                readiness=address,
+                directory=address,
+                peer=f"{name}:2",
+                metrics=address,
+            ),
+            store=StoreSettings(address="store:1"),
+            retries=self._retries,
+            seed=self._rng.randrange(1 << 30),
+        )
+        incarnation = f"{next(self._incarnations):06d}"
+        run = Running(name, build_world(settings, incarnation))
+        self.running[name] = run
+        run.schedule.start(run.world, self.now_ns)
+        self._tick(run)
+
+    def kill(self, name: str) -> None:
+        """Ends a node's process, which closes its connections."""
+        run = self.running.pop(name, None)
+        if run is None:
+            return
+        for endpoint_id in run.open_connections.values():
+            self.connections[endpoint_id] -= 1
+        run.open_connections.clear()
+
+    def restart(self, name: str, down_ms: float) -> None:
+        """Kills a node's process and starts it again."""
+        self.kill(name)
+        self.at(down_ms, lambda: self.start(name))
+
+    def ask(self, path: bytes, time_limit_ms: int = 600) -> None:
+        """Sends a request to one of the nodes that are ready."""
+        self.asked.append(self.now_ns)
+        ready = [run for run in self.running.values() if run.is_ready]
+        if not ready:
+            self.answers["no connection"] += 1
+            return
+        number = len(self.asked)
+        request = ArrivedRequest(
+            client_id=number,
+            client_request_id=b"r%d" % number,
+            method=b"GET",
+            host=HOST,
+            target=path,
+            headers=(),
+            body=b"",
+            time_limit_ms=time_limit_ms,
+        )
+        event = events.RequestArrived(request, self.now_ns)
+        self._deliver(self._rng.choice(ready), event)
+
+    def _deliver(self, run: Running, event: object) -> None:
+        if self.running.get(run.name) is run:
+            run.world.inbox.put(event)
+            self._tick(run)
+
+    def _later(self, run: Running, delay_ms: float, event: object) -> None:
+        self.at(delay_ms, lambda: self._deliver(run, event))
+
+    def _tick(self, run: Running) -> None:
+        for command in run.schedule.tick(run.world, self.now_ns):
+            self._carry_out(run, command)
+
+    def _carry_out(self, run: Running, command: object) -> None:
+        match command:
+            case commands.ListRange() | commands.WatchRange():
+                self._call_range(run, command)
+            case commands.WritePresence():
+                self._write_presence(run, command)
+            case commands.RenewPresence(lease_id):
+                self._later(run, _STORE_MS, events.PresenceWritten(lease_id))
+            case commands.SendToNode():
+                self._send_to_node(run, command)
+            case commands.OpenConnection():
+                self._open(run, command)
+            case commands.CloseConnection(connection_id):
+                self._close(run, connection_id)
+            case commands.SendAttempt():
+                self.at(_LINK_MS, lambda: self._arrive(run, command))
+            case commands.SetReadiness(ready):
+                run.is_ready = ready
+            case commands.SendMergedAnswer(missing=missing):
+                self.answers["partial" if missing else "whole"] += 1
+            case commands.SendError(error_kind=kind):
+                self.answers[kind.value] += 1
+            case _:
+                pass
+
+    def _call_range(
+        self, run: Running, call: commands.ListRange | commands.WatchRange
+    ) -> None:
+        kind = call.range
+        if self.faults.store_is_down:
+            self._later(run, 50, events.RangeFailed(kind, False, "down"))
+        elif isinstance(call, commands.WatchRange):
+            self._watches[id(run), kind] = (run, call.revision)
+            self._notify()
+        else:
+            items = dict(self._items[kind])
+            listed = events.RangeListed(
+                kind, items, self._revision, "", False, self._revision
+            )
+            self._later(run, _STORE_MS, listed)
+
+    def _write_presence(
+        self, run: Running, command: commands.WritePresence
+    ) -> None:
+        if self.faults.store_is_down:
+            self._later(run, 50, events.PresenceFailed(False, "down"))
+            return
+        self._revision += 1
+        record = command.record
+        self._items[Range.NODES][record.node_id] = record
+        change = Change(record.node_id, record, self._revision)
+        self._changes.append((self._revision, Range.NODES, change))
+        self._later(run, _STORE_MS, events.PresenceWritten(1))
+        self._notify()
+
+    def _notify(self) -> None:
+        for key, (run, revision) in list(self._watches.items()):
+            changes = tuple(
+                change
+                for at, kind, change in self._changes
+                if kind is key[1] and at > revision
+            )
+            if changes:
+                del self._watches[key]
+                changed = events.RangeChanged(key[1], changes, self._revision)
+                self._later(run, _STORE_MS, changed)
+
+    def _send_to_node(self, run: Running, command: commands.SendToNode) -> None:
+        target = self.running.get(command.peer_address.removesuffix(":2"))
+        message = command.message
+        if target is None:
+            if isinstance(message, RelayAsk):
+                unsent = events.RelayUnsent(message.relay_id)
+                self._later(run, 0.0, unsent)
+        elif self._rng.random() >= self.faults.message_loss_ratio:
+            self._later(target, _LINK_MS, message)
+
+    def _open(self, run: Running, command: commands.OpenConnection) -> None:
+        endpoint_id = self._entry_by_address[command.address].endpoint_id
+        run.open_connections[command.connection_id] = endpoint_id
+        self.connections[endpoint_id] += 1
+        self.peak_connections[endpoint_id] = max(
+            self.peak_connections[endpoint_id], self.connections[endpoint_id]
+        )
+        opened = events.ConnectionOpened(command.connection_id)
+        self._later(run, self.faults.connect_ms, opened)
+
+    def _close(self, run: Running, connection_id: int) -> None:
+        endpoint_id = run.open_connections.pop(connection_id, "")
+        if endpoint_id:
+            self.connections[endpoint_id] -= 1
+
+    def _arrive(self, run: Running, attempt: commands.SendAttempt) -> None:
+        # What a killed process had written arrives all the same.
+        service = next(
+            item.service
+            for item in self._entry_by_address.values()
+            if item.endpoint_id == attempt.endpoint_id
+        )
+        request_id = attempt.request.arrived.client_request_id
+        self.arrivals.append(Arrival(self.now_ns, request_id, service))
+        faults = self.faults
+        chance = self._rng.random()
+        if chance < faults.refused_ratio:
+            refusal = EndpointAnswer(503, b"", (), b"", b"", not_run=True)
+            self._answer(run, attempt, _LINK_MS, refusal)
+            return
+        slow = self._rng.random() < faults.slow_ratio
+        work_ms = 200.0 if slow else self._rng.uniform(5.0, 20.0)
+        if chance < faults.refused_ratio + faults.lost_ratio:
+            self.at(work_ms, lambda: self._lose(run, attempt))
+            return
+        signature = b"%d" % len(self.arrivals)
+        answer = EndpointAnswer(200, b"", (), bytes(16), signature)
+        self._answer(run, attempt, work_ms + _LINK_MS, answer)
+
+    def _answer(
+        self,
+        run: Running,
+        attempt: commands.SendAttempt,
+        delay_ms: float,
+        answer: EndpointAnswer,
+    ) -> None:
+        answered = events.AttemptAnswered(
+            attempt.connection_id, attempt.attempt_id, answer, True, 0
+        )
+        self.at(
+            delay_ms,
+            lambda: (
+                attempt.connection_id in run.open_connections
+                and self._deliver(run, answered)
+            ),
+        )
+
+    def _lose(self, run: Running, attempt: commands.SendAttempt) -> None:
+        if attempt.connection_id in run.open_connections:
+            self._close(run, attempt.connection_id)
+            ended = events.ConnectionEnded(attempt.connection_id, True, "reset")
+            self._deliver(run, ended)
+
+    def budget_overrun(self, service: str) -> float:
+        """Returns by how much the worst window exceeds the retry budget.
+
+        Extra sends are the arrivals beyond the first of a request. They are
+        allowed for the requests in their window, the one before or the one
+        half a window before, whichever has most.
+        """
+        seen: set[bytes] = set()
+        extras_ns = []
+        for arrival in self.arrivals:
+            if arrival.service != service:
+                continue
+            if arrival.request_id in seen:
+                extras_ns.append(arrival.at_ns)
+            seen.add(arrival.request_id)
+        window_ns = self._retries.window_s * NS_PER_S
+        worst = -self._retries.slack
+        for start_ns in extras_ns:
+            extras = _count_between(extras_ns, start_ns, window_ns)
+            requests = max(
+                _count_between(self.asked, start_ns - shift_ns, window_ns)
+                for shift_ns in (0, window_ns // 2, window_ns)
+            )
+            allowed = self._retries.ratio * requests + self._retries.slack
+            worst = max(worst, extras - allowed)
+        return worst
+
+
+def _count_between(times_ns: list[int], start_ns: int, length_ns: int) -> int:
+    return sum(start_ns <= at_ns < start_ns + length_ns for at_ns in times_ns)
--- /dev/null
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -0,0 +1,89 @@
+"""What all nodes together send beyond the first of a request, over restarts."""
+
+import dataclasses
+
+from standins.forwarding import entry, merge_route
+from standins.simulated_fleet import Faults, SimulatedFleet
+
+from snipesaddle._internal.models.forwarding import RetrySettings
+from snipesaddle._internal.tables.forwarding.routes import (
+    ClientLimits,
+    RouteConfig,
+    ServiceLimits,
+)
+
+SEEDS = (1, 2, 3)
+SHARDS = 4
+ZONES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
+REQUEST_GAP_MS = 18.0
+CONNECTIONS = 20
+LOADED = Faults(refused_ratio=0.15, lost_ratio=0.2, slow_ratio=0.3)
+
+
+def started_fleet(seed: int, nodes: tuple[str, ...]) -> SimulatedFleet:
+    route = merge_route(SHARDS)
+    config = RouteConfig(
+        version=1,
+        routes=(route,),
+        services={
+            name: ServiceLimits(name, CONNECTIONS) for name in route.shards
+        },
+        limits=ClientLimits(),
+        source=b"config",
+    )
+    entries = [
+        entry(
+            f"{service}{zone}",
+            service,
+            zone=zone,
+            address=f"{service}{zone}:1",
+        )
+        for service in route.shards
+        for zone in "ab"
+    ]
+    retries = RetrySettings(ratio=0.2, slack=58.0, window_s=10)
+    fleet = SimulatedFleet(config, entries, ZONES, retries, seed)
+    for name in nodes:
+        fleet.start(name)
+    fleet.advance(12_000)
+    return fleet
+
+
+def load(fleet: SimulatedFleet, ms: float) -> None:
+    for _ in range(int(ms / REQUEST_GAP_MS)):
+        fleet.ask(b"/sweep/x")
+        fleet.advance(REQUEST_GAP_MS)
+
+
+def load_with_restarts(
+    fleet: SimulatedFleet, starts: int, gap_ms: float, down_ms: float
+) -> None:
+    for _ in range(starts):
+        load(fleet, gap_ms)
+        for name in ZONES:
+            fleet.restart(name, down_ms)
+    load(fleet, 12_000)
+
+
+def worst_overrun(fleet: SimulatedFleet) -> float:
+    return max(fleet.budget_overrun(f"s{number}") for number in range(SHARDS))
+
+
+def test_running_nodes_use_the_budget_and_stay_within_it() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = Faults(refused_ratio=0.03, lost_ratio=0.03)
+        load(fleet, 12_000)
+        assert fleet.answers["whole"] > 0.95 * len(fleet.asked)
+        fleet.faults = dataclasses.replace(LOADED)
+        load(fleet, 20_000)
+        assert worst_overrun(fleet) <= 0
+
+
+# A started node took the fleet for itself alone, and its budget for unspent.
+def test_restarts_of_all_nodes_do_not_renew_the_retry_budget() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = dataclasses.replace(LOADED)
+        load_with_restarts(fleet, starts=4, gap_ms=3_500, down_ms=500)
+        assert worst_overrun(fleet) <= 0
