Give a started node no share of the fleet's limits before it knows the fleet

Callers' repeats went over the budget of a service, and endpoints reset connections over their limit, right after all nodes had been restarted.

Cause: the size of the fleet was 1 and the active share 1.0 until the second heartbeat, 0.5 s after a start, though the node served from its first lists on. Each of four nodes took the slack and the connections of the whole fleet. The class: a limit of the whole fleet that a process keeps in memory alone, with a default that allows everything.

Before the change test_one_restart_of_all_nodes_keeps_to_the_retry_budget was 65.4 sends over, and test_restarted_nodes_keep_to_the_connection_limit had 72 connections for a limit of 20.

The size is now 0 for unknown, which gives no share (one connection); it is updated when the records of the nodes have been read and whenever the fleet changes. Until a node has read them, the size that others report in their heartbeats counts.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -10,6 +10,7 @@
 from snipesaddle._internal.systems.forwarding import (
     activity,
     containment,
+    fleet_shares,
     peer_sync,
     retries,
 )
@@ -33,7 +34,6 @@
 _HEARTBEAT = "beat"
 _NS_PER_S = 1_000_000_000
 _REMOVE_AFTER_NS = 30_000 * NS_PER_MS
-_SIZE_WINDOW_NS = 30_000 * NS_PER_MS
 
 
 def heartbeat_targets(world: ForwardWorld) -> list[PeerNode]:
@@ -122,13 +122,14 @@
             world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, due_ns)
             self._run_heartbeat(world, now_ns)
         if world.fleet.active_is_stale:
+            fleet_shares.update_size(world, now_ns)
             activity.refresh_active(world, now_ns)
 
     def _run_heartbeat(self, world: ForwardWorld, now_ns: int) -> None:
         self._update_attempt_rate(world, now_ns)
         # Before the size of the fleet changes, which the budget depends on.
         retries.log_use(world, now_ns)
-        self._update_recent_max_size(world, now_ns)
+        fleet_shares.update_size(world, now_ns)
         activity.refresh_active(world, now_ns)
         send_heartbeats(world, now_ns)
         self._remove_expired(world, now_ns)
@@ -146,6 +147,8 @@
     def _apply_list(
         self, world: ForwardWorld, items: Mapping[str, object], now_ns: int
     ) -> None:
+        world.fleet.listed = True
+        world.fleet.active_is_stale = True
         for key, item in items.items():
             self._apply_item(world, key, item, now_ns)
         for node_id in world.fleet.nodes.keys() - items.keys():
@@ -193,15 +196,17 @@
         self, world: ForwardWorld, beat: NodeBeat, now_ns: int
     ) -> None:
         self._on_record(world, beat.node, now_ns)
+        fleet = world.fleet
+        fleet.reported_size = max(fleet.reported_size, beat.node.fleet_size)
         for record in beat.others:
             if record.node_id == world.this_node.node_id:
                 continue
-            known = world.fleet.nodes.get(record.node_id)
+            known = fleet.nodes.get(record.node_id)
             # Several nodes pass on the same record; only a newer one shows that
             # its node is up.
             if known is None or _is_newer(record, known.record):
                 self._on_record(world, record, now_ns)
-        node = world.fleet.nodes[beat.node.node_id]
+        node = fleet.nodes[beat.node.node_id]
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
 
     def _on_record(
@@ -226,17 +231,6 @@
                 world.emit(DisconnectPeer(node.record.peer_address))
                 world.log("node_removed", peer=node_id)
 
-    def _update_recent_max_size(self, world: ForwardWorld, now_ns: int) -> None:
-        fleet = world.fleet
-        size = 1 + sum(
-            node.registered or now_ns - node.last_heard_ns < _SIZE_WINDOW_NS
-            for node in fleet.nodes.values()
-        )
-        expired = now_ns - fleet.recent_max_seen_ns > _SIZE_WINDOW_NS
-        if size >= fleet.recent_max_size or expired:
-            fleet.recent_max_size = size
-            fleet.recent_max_seen_ns = now_ns
-
 
 def _is_newer(record: NodeRecord, known: NodeRecord) -> bool:
     return (record.incarnation, record.sequence) > (
--- a/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
@@ -6,10 +6,16 @@
 divide the rest. A node that becomes active takes over its share step by step,
 while the use by the nodes that were active before it fades. So the sum stays
 within the limit, also while nodes disagree on which of them are active.
+
+A node that does not know the size of the fleet yet, because it has just
+started, has no share.
 """
 
+from snipesaddle._internal.systems.tick import NS_PER_MS
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
+# How long a node that has left the fleet still counts for its size.
+_SIZE_WINDOW_NS = 30_000 * NS_PER_MS
 # The part of a limit that is reserved in equal shares for all nodes.
 _RESERVED_RATIO = 0.25
 _NS_PER_S = 1_000_000_000
@@ -25,11 +31,31 @@
     """
     fleet = world.fleet
     size = fleet.recent_max_size
+    if not size:
+        return minimum
     reserved = max(minimum, limit * _RESERVED_RATIO / size)
     divisible = max(0.0, limit - reserved * size)
     return reserved + divisible * fleet.active_share
 
 
+def update_size(world: ForwardWorld, now_ns: int) -> None:
+    """Updates the size of the fleet, which is not known at the start.
+
+    Until the records of the nodes have been read, it is what others report.
+    """
+    fleet = world.fleet
+    if fleet.listed:
+        fleet.size = 1 + sum(
+            node.registered or now_ns - node.last_heard_ns < _SIZE_WINDOW_NS
+            for node in fleet.nodes.values()
+        )
+    size = fleet.size or fleet.reported_size
+    expired = now_ns - fleet.recent_max_seen_ns > _SIZE_WINDOW_NS
+    if size >= fleet.recent_max_size or expired:
+        fleet.recent_max_size = size
+        fleet.recent_max_seen_ns = now_ns
+
+
 def update_active_share(world: ForwardWorld, now_ns: int) -> None:
     """Updates the part of the divisible limits that this node may use."""
     fleet = world.fleet
@@ -39,12 +65,13 @@
     for node_id, last_ns in list(fleet.last_active_ns.items()):
         if now_ns - last_ns > window_ns:
             del fleet.last_active_ns[node_id]
-    if world.this_node.node_id not in fleet.active_node_ids:
+    size = fleet.recent_max_size
+    if not size or world.this_node.node_id not in fleet.active_node_ids:
         fleet.active_since_ns = 0
         fleet.active_share = 0.0
         return
     fleet.active_since_ns = fleet.active_since_ns or now_ns
-    equal_share = 1 / fleet.recent_max_size
+    equal_share = 1 / size
     growth = min(1.0, (now_ns - fleet.active_since_ns) / window_ns)
     # Recently active nodes count, because their use has not faded yet.
     full_share = 1 / max(1, len(fleet.last_active_ns))
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -38,6 +38,7 @@
         endpoints_revision=world.endpoints_revision,
         sequence=this_node.sequence,
         attempts_per_s=world.fleet.attempts_per_s,
+        fleet_size=world.fleet.size,
     )
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -25,6 +25,8 @@
         knows.
       sequence: increases with each record of one incarnation.
       attempts_per_s: its load, averaged over one heartbeat interval.
+      fleet_size: how many nodes it knows, itself included; 0 while it has not
+        read their records from the store.
     """
 
     node_id: str
@@ -38,6 +40,7 @@
     endpoints_revision: int = 0
     sequence: int = 0
     attempts_per_s: int = 0
+    fleet_size: int = 0
 
 
 @dataclass(slots=True)
@@ -118,8 +121,13 @@
       attempts_at_heartbeat: this node's attempts up to the last heartbeat.
       attempts_per_s: this node's load between the last two heartbeats.
       last_heartbeat_ns: when this node last sent its heartbeats.
+      listed: the records of the nodes have been read from the store.
+      size: how many nodes this one knows, itself included; 0 while it has not
+        read their records.
+      reported_size: the largest size of the fleet in a heartbeat of another
+        node.
       recent_max_size: the largest recent size of the fleet, this node
-        included.
+        included; 0 until it is known.
       recent_max_seen_ns: when that size was last reached.
       last_active_ns: when each recently active node was last seen as active.
       active_since_ns: since when this node has been active; 0 if it is not.
@@ -138,11 +146,14 @@
     attempts_at_heartbeat: int = 0
     attempts_per_s: int = 0
     last_heartbeat_ns: int = 0
-    recent_max_size: int = 1
+    listed: bool = False
+    size: int = 0
+    reported_size: int = 0
+    recent_max_size: int = 0
     recent_max_seen_ns: int = 0
     last_active_ns: dict[str, int] = field(default_factory=dict)
     active_since_ns: int = 0
-    active_share: float = 1.0
+    active_share: float = 0.0
     endpoints_revision: int = 0
     config_version: int = 0
     behind_since_ns: int = 0
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -23,7 +23,10 @@
 from snipesaddle._internal.systems.forwarding.schedule import ForwardSchedule
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
-from snipesaddle._internal.tables.forwarding.messages import RelayAsk
+from snipesaddle._internal.tables.forwarding.messages import (
+    ConfigShare,
+    RelayAsk,
+)
 from snipesaddle._internal.tables.forwarding.requests import (
     ArrivedRequest,
     EndpointAnswer,
@@ -105,6 +108,7 @@
         self.connections: Counter[str] = Counter()
         self.peak_connections: Counter[str] = Counter()
         self.running: dict[str, Running] = {}
+        self._config = config
         self._zones = zones
         self._retries = retries
         self._rng = random.Random(seed)
@@ -291,6 +295,8 @@
                 unsent = events.RelayUnsent(message.relay_id)
                 self._later(run, 0.0, unsent)
         elif self._rng.random() >= self.faults.message_loss_ratio:
+            if isinstance(message, ConfigShare):
+                message = events.PeerConfigReceived(self._config)
             self._later(target, _LINK_MS, message)
 
     def _open(self, run: Running, command: commands.OpenConnection) -> None:
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -1,6 +1,7 @@
 """What all nodes together send beyond the first of a request, over restarts."""
 
 import dataclasses
+from typing import Any
 
 from standins.forwarding import entry, merge_route
 from standins.simulated_fleet import Faults, SimulatedFleet
@@ -16,12 +17,15 @@
 SHARDS = 4
 ZONES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
 REQUEST_GAP_MS = 18.0
+TIME_LIMIT_MS = 5_000
 CONNECTIONS = 20
 LOADED = Faults(refused_ratio=0.15, lost_ratio=0.2, slow_ratio=0.3)
 
 
-def started_fleet(seed: int, nodes: tuple[str, ...]) -> SimulatedFleet:
-    route = merge_route(SHARDS)
+def started_fleet(
+    seed: int, nodes: tuple[str, ...], **changes: Any
+) -> SimulatedFleet:
+    route = merge_route(SHARDS, **changes)
     config = RouteConfig(
         version=1,
         routes=(route,),
@@ -51,17 +55,21 @@
 
 def load(fleet: SimulatedFleet, ms: float) -> None:
     for _ in range(int(ms / REQUEST_GAP_MS)):
-        fleet.ask(b"/sweep/x")
+        fleet.ask(b"/sweep/x", TIME_LIMIT_MS)
         fleet.advance(REQUEST_GAP_MS)
 
 
-def load_with_restarts(
-    fleet: SimulatedFleet, starts: int, gap_ms: float, down_ms: float
-) -> None:
+def burst(fleet: SimulatedFleet) -> None:
+    for _ in range(200):
+        fleet.ask(b"/sweep/x")
+        fleet.advance(2)
+
+
+def load_with_restarts(fleet: SimulatedFleet, starts: int) -> None:
     for _ in range(starts):
-        load(fleet, gap_ms)
+        load(fleet, 3_500)
         for name in ZONES:
-            fleet.restart(name, down_ms)
+            fleet.restart(name, 500)
     load(fleet, 12_000)
 
 
@@ -85,5 +93,45 @@
     for seed in SEEDS:
         fleet = started_fleet(seed, tuple(ZONES))
         fleet.faults = dataclasses.replace(LOADED)
-        load_with_restarts(fleet, starts=4, gap_ms=3_500, down_ms=500)
+        load_with_restarts(fleet, starts=4)
+        assert worst_overrun(fleet) <= 0
+
+
+# A node that had heard of no other one yet spent the budget of the whole fleet.
+def test_one_restart_of_all_nodes_keeps_to_the_retry_budget() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = dataclasses.replace(LOADED)
+        load(fleet, 9_000)
+        for name in ZONES:
+            fleet.restart(name, 500)
+        fleet.advance(550)
+        burst(fleet)
+        assert worst_overrun(fleet) <= 0
+
+
+# A node that had heard of no other one yet opened the connections of all.
+def test_restarted_nodes_keep_to_the_connection_limit() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = dataclasses.replace(LOADED, slow_ratio=1.0)
+        load(fleet, 1_000)
+        for name in ZONES:
+            fleet.restart(name, 500)
+        fleet.advance(550)
+        burst(fleet)
+        assert max(fleet.peak_connections.values()) <= CONNECTIONS
+
+
+# Nodes that start while the store is down know neither each other nor the past.
+def test_nodes_that_start_without_the_store_keep_to_the_retry_budget() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = dataclasses.replace(LOADED)
+        load(fleet, 9_000)
+        fleet.faults.store_is_down = True
+        for name in ("e1", "e2", "e3"):
+            fleet.restart(name, 500)
+        fleet.advance(2_000)
+        burst(fleet)
         assert worst_overrun(fleet) <= 0
