Give a node no slack of the retry budget in the first window of its run

Cause: the window of what a node has spent is kept in memory. Each run of a node starts with an empty one and spends the node's part of the slack anew, so n restarts within a window allow n + 1 times the slack. The part that is a ratio of the requests does not grow, since the requests are counted again, too.

A run cannot know what the run before it spent, and all nodes may have been killed. So for one window after its start a node retries and hedges in proportion to its own requests only.

NS_PER_S stands once, in tick.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -15,7 +15,7 @@
     retries,
 )
 from snipesaddle._internal.systems.forwarding.presence import this_node_record
-from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     DisconnectPeer,
     SendToNode,
@@ -32,7 +32,6 @@
 from snipesaddle._internal.tables.timers import TimerKind
 
 _HEARTBEAT = "beat"
-_NS_PER_S = 1_000_000_000
 _REMOVE_AFTER_NS = 30_000 * NS_PER_MS
 
 
@@ -104,6 +103,7 @@
     """Maintains the table of the other nodes and sends the heartbeats."""
 
     def start(self, world: ForwardWorld, now_ns: int) -> None:
+        world.this_node.started_ns = now_ns
         world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, now_ns)
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
@@ -140,7 +140,7 @@
         if elapsed_ns <= 0:
             return
         new_attempts = world.counters.attempts - fleet.attempts_at_heartbeat
-        fleet.attempts_per_s = new_attempts * _NS_PER_S // elapsed_ns
+        fleet.attempts_per_s = new_attempts * NS_PER_S // elapsed_ns
         fleet.attempts_at_heartbeat = world.counters.attempts
         fleet.last_heartbeat_ns = now_ns
 
--- a/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
@@ -11,14 +11,13 @@
 started, has no share.
 """
 
-from snipesaddle._internal.systems.tick import NS_PER_MS
+from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 # How long a node that has left the fleet still counts for its size.
 _SIZE_WINDOW_NS = 30_000 * NS_PER_MS
 # The part of a limit that is reserved in equal shares for all nodes.
 _RESERVED_RATIO = 0.25
-_NS_PER_S = 1_000_000_000
 
 
 def share_of(world: ForwardWorld, limit: float, minimum: float = 0.0) -> float:
@@ -59,7 +58,7 @@
 def update_active_share(world: ForwardWorld, now_ns: int) -> None:
     """Updates the part of the divisible limits that this node may use."""
     fleet = world.fleet
-    window_ns = world.settings.retries.window_s * _NS_PER_S
+    window_ns = world.settings.retries.window_s * NS_PER_S
     for node_id in fleet.active_node_ids:
         fleet.last_active_ns[node_id] = now_ns
     for node_id, last_ns in list(fleet.last_active_ns.items()):
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -12,7 +12,7 @@
     fleet,
     presence,
 )
-from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     CloseIdleClients,
     ErrorKind,
@@ -32,7 +32,6 @@
 _DIRECTORY_USE_FACTOR = 3
 _LEAVE = "leave"
 _EXIT = "exit"
-_NS_PER_S = 1_000_000_000
 _EXIT_CHECK_INTERVAL_NS = 100 * NS_PER_MS
 # The process exits this long before its grace period ends.
 _EXIT_MARGIN_NS = 600 * NS_PER_MS
@@ -74,7 +73,7 @@
             return
         this_node.leave_requested_ns = now_ns
         this_node.phase = NodePhase.LEAVING
-        grace_ns = int(world.settings.drain.grace_s * _NS_PER_S)
+        grace_ns = int(world.settings.drain.grace_s * NS_PER_S)
         this_node.exit_deadline_ns = now_ns + grace_ns - _EXIT_MARGIN_NS
         directory_use_ns = (
             world.settings.directory.keep_ms * NS_PER_MS * _DIRECTORY_USE_FACTOR
--- a/src/snipesaddle/_internal/systems/forwarding/retries.py
+++ b/src/snipesaddle/_internal/systems/forwarding/retries.py
@@ -6,6 +6,7 @@
 """
 
 from snipesaddle._internal.systems.forwarding import fleet_shares
+from snipesaddle._internal.systems.tick import NS_PER_S
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 # The rest is a reserve for nodes that join, and for time windows that begin
@@ -35,8 +36,9 @@
     )
     if not budget.extra_sum:
         return
+    slack = _slack(world, now_ns, _USED_BUDGET_RATIO)
     remaining = budget.remaining(
-        now_ns, world.settings.retries.ratio * _USED_BUDGET_RATIO, _slack(world)
+        now_ns, world.settings.retries.ratio * _USED_BUDGET_RATIO, slack
     )
     world.log(
         "retry_budget",
@@ -44,22 +46,26 @@
         requests=budget.request_sum,
         extras=budget.extra_sum,
         remaining=round(remaining, 1),
-        slack=round(_slack(world), 1),
+        slack=round(slack, 1),
         fleet_size=world.fleet.recent_max_size,
         active_share=round(world.fleet.active_share, 3),
         denials=world.counters.budget_denials,
     )
 
 
-def _slack(world: ForwardWorld) -> float:
-    slack = world.settings.retries.slack * _USED_BUDGET_RATIO
-    return fleet_shares.share_of(world, slack)
+def _slack(world: ForwardWorld, now_ns: int, used_ratio: float) -> float:
+    settings = world.settings.retries
+    # The previous run of this node may have spent its share until the end, and
+    # each window counts what both runs send.
+    if now_ns - world.this_node.started_ns < settings.window_s * NS_PER_S:
+        return 0.0
+    return fleet_shares.share_of(world, settings.slack * used_ratio)
 
 
 def _is_within(
     world: ForwardWorld, service: str, now_ns: int, used_ratio: float
 ) -> bool:
     settings = world.settings.retries
-    slack = fleet_shares.share_of(world, settings.slack * used_ratio)
+    slack = _slack(world, now_ns, used_ratio)
     ratio = settings.ratio * used_ratio
     return world.retry_budget(service).remaining(now_ns, ratio, slack) >= 1
--- a/src/snipesaddle/_internal/systems/tick.py
+++ b/src/snipesaddle/_internal/systems/tick.py
@@ -4,6 +4,7 @@
 from typing import Generic, TypeVar
 
 NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
 
 WorldT = TypeVar("WorldT")
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -77,6 +77,7 @@
     """This node.
 
     Attributes:
+      started_ns: when its systems started.
       leave_requested_ns: when its shutdown was requested; 0 for never.
       exit_deadline_ns: when its process exits at the latest.
       stop_requested: the command to end its process was emitted.
@@ -89,6 +90,7 @@
     zone: str
     phase: NodePhase = NodePhase.STARTING
     sequence: int = 0
+    started_ns: int = 0
     leave_requested_ns: int = 0
     exit_deadline_ns: int = 0
     stop_requested: bool = False
--- a/tests/standins/forwarding.py
+++ b/tests/standins/forwarding.py
@@ -35,6 +35,8 @@
 
 NS_PER_MS = 1_000_000
 HOST = b"desk.example"
+# The node has been up for so long.
+_UP_NS = 60_000 * NS_PER_MS
 CommandT = TypeVar("CommandT")
 
 
@@ -116,6 +118,7 @@
         self.world = build_world(settings, "0001")
         self._schedule = ForwardSchedule()
         self._schedule.start(self.world, self.now_ns)
+        self.world.this_node.started_ns = self.now_ns - _UP_NS
         self.commands: list[Command] = []
         self._clients = 0
         self.tick()
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -88,7 +88,7 @@
         assert worst_overrun(fleet) <= 0
 
 
-# A started node took the fleet for itself alone, and its budget for unspent.
+# Each run of a node spent its part of the slack anew.
 def test_restarts_of_all_nodes_do_not_renew_the_retry_budget() -> None:
     for seed in SEEDS:
         fleet = started_fleet(seed, tuple(ZONES))
