Count nodes that cannot be heard when dividing the fleet's limits

Callers' repeats went over the budget of a service while one of four nodes was cut off from the others and the store, and clients still reached all four.

Cause: the divisible part of a limit was divided by the active nodes that a node hears. The one that was cut off heard only itself and took the whole part after ten seconds, and the other three a third each. The class is that of the restarts: what a node does not know of, it took for absent.

The part is now divided by at least as many nodes as the fleet would have active, up to its known size.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
@@ -72,6 +72,8 @@
     fleet.active_since_ns = fleet.active_since_ns or now_ns
     equal_share = 1 / size
     growth = min(1.0, (now_ns - fleet.active_since_ns) / window_ns)
-    # Recently active nodes count, because their use has not faded yet.
-    full_share = 1 / max(1, len(fleet.last_active_ns))
+    # Recently active nodes count, because their use has not faded yet. So do
+    # nodes that this one cannot hear, but that clients may still use.
+    min_active = min(size, world.settings.fleet.min_active)
+    full_share = 1 / max(min_active, len(fleet.last_active_ns))
     fleet.active_share = max(equal_share, growth * full_share)
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -53,6 +53,7 @@
       connect_ms: how long a connection takes to open.
       message_loss_ratio: share of the messages between nodes that are lost.
       store_is_down: calls to the store fail.
+      cut_off: nodes that reach neither the store nor other nodes.
     """
 
     refused_ratio: float = 0.0
@@ -61,6 +62,11 @@
     connect_ms: float = 6.0
     message_loss_ratio: float = 0.0
     store_is_down: bool = False
+    cut_off: frozenset[str] = frozenset()
+
+    def without_store(self, name: str) -> bool:
+        """Returns whether a node's calls to the store fail."""
+        return self.store_is_down or name in self.cut_off
 
 
 @dataclass
@@ -249,7 +255,7 @@
         self, run: Running, call: commands.ListRange | commands.WatchRange
     ) -> None:
         kind = call.range
-        if self.faults.store_is_down:
+        if self.faults.without_store(run.name):
             self._later(run, 50, events.RangeFailed(kind, False, "down"))
         elif isinstance(call, commands.WatchRange):
             self._watches[id(run), kind] = (run, call.revision)
@@ -264,7 +270,7 @@
     def _write_presence(
         self, run: Running, command: commands.WritePresence
     ) -> None:
-        if self.faults.store_is_down:
+        if self.faults.without_store(run.name):
             self._later(run, 50, events.PresenceFailed(False, "down"))
             return
         self._revision += 1
@@ -290,7 +296,7 @@
     def _send_to_node(self, run: Running, command: commands.SendToNode) -> None:
         target = self.running.get(command.peer_address.removesuffix(":2"))
         message = command.message
-        if target is None:
+        if target is None or self.faults.cut_off & {run.name, target.name}:
             if isinstance(message, RelayAsk):
                 unsent = events.RelayUnsent(message.relay_id)
                 self._later(run, 0.0, unsent)
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -135,3 +135,14 @@
         fleet.advance(2_000)
         burst(fleet)
         assert worst_overrun(fleet) <= 0
+
+
+# A node that heard no other one took the shares of all for its own.
+def test_a_node_that_is_cut_off_keeps_to_its_share_of_the_retry_budget() -> (
+    None
+):
+    for seed in SEEDS:
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = dataclasses.replace(LOADED, cut_off=frozenset({"e4"}))
+        load(fleet, 20_000)
+        assert worst_overrun(fleet) <= 0
