Count a retry or hedge when it is sent, not when it is chosen

Repeats could arrive outside of the window that they were counted in: one that waits for its connection was counted when its endpoint was chosen and arrived up to the request's time limit later, when its count had partly expired. One whose connection never opened cost budget all the same.

Evidence: test_a_retry_counts_for_a_whole_window_after_it_was_sent (3.0 left where 2.0 are) and test_a_retry_that_was_never_sent_costs_no_budget failed before.

A repeat is now reserved while it waits, enters the window when it is sent, and is given back if it never is.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -219,8 +219,11 @@
 
 def _remove_ended(world: ForwardWorld, attempt: Attempt) -> None:
     """Removes an attempt, and its count at its endpoint."""
-    world.attempts.pop(attempt.attempt_id, None)
+    if world.attempts.pop(attempt.attempt_id, None) is None:
+        return
     world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
+    if attempt.is_extra and not attempt.sent_ns:
+        world.retry_budget(attempt.service).release_extra()
     endpoint = world.endpoints.get(attempt.endpoint_id)
     if endpoint is not None:
         endpoint.in_flight -= 1
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -138,6 +138,7 @@
         attempt_id=attempt_id,
         request_id=request.request_id,
         part_index=index,
+        service=part.service,
         endpoint_id=endpoint.endpoint_id,
         connection_id=connection.connection_id,
         route_name=request.route.name,
@@ -151,7 +152,7 @@
     endpoint.in_flight += 1
     world.counters.attempts += 1
     if is_extra:
-        world.retry_budget(part.service).count_extra(now_ns)
+        world.retry_budget(part.service).reserve_extra()
     if connection.state is not ConnectionState.OPENING:
         send_attempt(world, request, attempt, endpoint, now_ns)
 
@@ -166,6 +167,10 @@
     """Sends an attempt on its open connection."""
     part = request.parts[attempt.part_index]
     attempt.sent_ns = now_ns
+    if attempt.is_extra:
+        retry_budget = world.retry_budget(attempt.service)
+        retry_budget.release_extra()
+        retry_budget.count_extra(now_ns)
     part.possible_runs += 1
     part.run_endpoint_ids.append(endpoint.endpoint_id)
     part.send_count += 1
--- a/src/snipesaddle/_internal/tables/forwarding/budgets.py
+++ b/src/snipesaddle/_internal/tables/forwarding/budgets.py
@@ -20,6 +20,8 @@
       extras: sends beyond the first (retries and hedges), likewise.
       request_sum: first sends in the window.
       extra_sum: extra sends in the window.
+      waiting_extras: extra sends that wait for their connection; they enter
+        the window when they are sent.
     """
 
     window_ns: int
@@ -28,6 +30,7 @@
     extras: list[int] = field(default_factory=lambda: [0] * _BUCKET_COUNT)
     request_sum: int = 0
     extra_sum: int = 0
+    waiting_extras: int = 0
 
     def count_request(self, now_ns: int) -> None:
         """Counts the first send of a part."""
@@ -41,13 +44,26 @@
         self.extras[self.bucket_number % _BUCKET_COUNT] += 1
         self.extra_sum += 1
 
+    def reserve_extra(self) -> None:
+        """Counts an extra send that is about to be sent."""
+        self.waiting_extras += 1
+
+    def release_extra(self) -> None:
+        """Stops counting a reserved extra send; it was sent, or never will."""
+        self.waiting_extras -= 1
+
     def remaining(self, now_ns: int, ratio: float, slack: float) -> float:
         """Returns how many more retries and hedges the budget allows now.
 
         The budget is `ratio` times the requests in the window, plus `slack`.
         """
         self._advance(now_ns)
-        return ratio * self.request_sum + slack - self.extra_sum
+        return (
+            ratio * self.request_sum
+            + slack
+            - self.extra_sum
+            - self.waiting_extras
+        )
 
     def _advance(self, now_ns: int) -> None:
         bucket_number = now_ns * (_BUCKET_COUNT - 1) // self.window_ns
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -203,6 +203,7 @@
     attempt_id: int
     request_id: int
     part_index: int
+    service: str
     endpoint_id: str
     connection_id: int
     route_name: str
--- a/tests/unit/forwarding/test_retry_budget.py
+++ b/tests/unit/forwarding/test_retry_budget.py
@@ -2,8 +2,12 @@
 
 from standins.forwarding import ForwardTicks, entry, merge_route
 
+from snipesaddle._internal.models.forwarding import RetrySettings
 from snipesaddle._internal.systems.forwarding import retries
-from snipesaddle._internal.tables.forwarding import commands
+from snipesaddle._internal.tables.forwarding import commands, events
+
+CONNECT_MS = 4_000
+WINDOW_MS = 10_000
 
 
 def test_the_log_tells_what_limits_the_budget() -> None:
@@ -19,3 +23,39 @@
     )
     assert (line["service"], line["requests"], line["extras"]) == ("s0", 1, 1)
     assert line["fleet_size"] == 1
+
+
+def ticks_with_a_retry_that_waits() -> tuple[
+    ForwardTicks, commands.OpenConnection
+]:
+    """Returns a node whose retry waits for a connection to open."""
+    ticks = ForwardTicks(
+        [merge_route(1, timeout_ms=20_000)],
+        [entry("s0a", "s0"), entry("s0b", "s0")],
+        retries=RetrySettings(ratio=0.0, slack=3.0, window_s=10),
+    )
+    ticks.ask(b"/sweep/x", time_limit_ms=20_000)
+    (first,) = ticks.taken(commands.SendAttempt)
+    ticks.lose(first)
+    (opening,) = ticks.taken(commands.OpenConnection)
+    return ticks, opening
+
+
+# A retry counted from its choice, and arrived seconds later.
+def test_a_retry_counts_for_a_whole_window_after_it_was_sent() -> None:
+    ticks, opening = ticks_with_a_retry_that_waits()
+    ticks.advance(CONNECT_MS, step_ms=100)
+    ticks.tick(events.ConnectionOpened(opening.connection_id))
+    assert ticks.taken(commands.SendAttempt)
+    ticks.advance(WINDOW_MS - 1, step_ms=100)
+    budget = ticks.world.retry_budget("s0")
+    assert budget.remaining(ticks.now_ns, ratio=0.0, slack=3.0) == 2.0
+
+
+def test_a_retry_that_was_never_sent_costs_no_budget() -> None:
+    ticks, opening = ticks_with_a_retry_that_waits()
+    budget = ticks.world.retry_budget("s0")
+    assert budget.remaining(ticks.now_ns, ratio=0.0, slack=3.0) == 2.0
+    refused = events.ConnectionEnded(opening.connection_id, False, "refused")
+    ticks.tick(refused)
+    assert budget.remaining(ticks.now_ns, ratio=0.0, slack=3.0) == 3.0
