Answer the requests that were read before a node stops listening

Callers whose request was read in the moment of a planned stop got a closed connection and no answer.

Cause: the server closed all connections when it drained, also those with a request that had no answer yet. It did not wait for anything either once all connections had been closed at some earlier time, because that was remembered for ever.

The server now stops listening, closes idle connections, answers the others with Connection: close, and closes what is left at the time limit.

--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -121,20 +121,25 @@
 
     def stop(self) -> None:
         """Stops listening and closes all connections."""
+        self._stop_listening()
         if self._sweeper is not None:
             self._sweeper.cancel()
-        if self._server is not None:
-            self._server.close()
         for connection in list(self._connections):
             connection.close()
-        if not self._connections:
-            self._all_closed.set()
 
     async def drain(self, timeout_s: float) -> None:
-        """Stops, and waits until all responses are sent, up to a time limit."""
+        """Stops once all requests are answered, or after a time limit."""
+        self._stop_listening()
+        self.close_idle()
+        if self._connections:
+            self._all_closed.clear()
+            with anyio.move_on_after(timeout_s):
+                await self._all_closed.wait()
         self.stop()
-        with anyio.move_on_after(timeout_s):
-            await self._all_closed.wait()
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
 
     def add_pending(
         self, client_id: int, connection: "_ServerConnection"
--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -353,6 +353,35 @@
     assert received.endswith(body)
 
 
+# A request read just before the end of the process got no answer.
+async def test_a_stop_answers_the_requests_that_were_read() -> None:
+    echo = Echo(answering=False)
+    address = await started(echo)
+    host, _, port = address.rpartition(":")
+    _, earlier = await asyncio.open_connection(host, int(port))
+    earlier.close()
+    await anyio.sleep(0.05)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    with anyio.fail_after(5):
+        while not echo.requests:
+            await anyio.sleep(0.01)
+
+    async def answer_later() -> None:
+        await anyio.sleep(0.1)
+        headers = ((b"Content-Length", b"2"),)
+        echo.server.respond(echo.last_client_id, 503, b"", headers, b"no")
+
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(answer_later)
+            await echo.server.drain(2.0)
+        received = await reader.read()
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"Connection: close" in received
+    assert received.endswith(b"no")
+
+
 class Options:
     """Records the options set on a socket."""
 
