Send the parts that are in when a node has to exit

Callers of a search got a 504 at the end of a node's grace period, though the parts that had come in covered enough shards for an answer.

Cause: the requests that were left were ended with an error. Evidence: test_a_node_that_exits_sends_the_parts_that_are_in failed before.

They are now made due, so the same code answers them that answers at a deadline: with the parts that are in where these cover enough, and to a node that relayed parts with those that it has. The process ends one check later.

--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -8,14 +8,12 @@
 
 from snipesaddle._internal.systems.forwarding import (
     activity,
-    completion,
     fleet,
     presence,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     CloseIdleClients,
-    ErrorKind,
     SetReadiness,
     StopProcess,
 )
@@ -92,21 +90,20 @@
         this_node = world.this_node
         if this_node.stop_requested:
             return
-        if now_ns >= this_node.exit_deadline_ns:
-            self._abort_requests(world, now_ns)
         if not world.requests:
             this_node.stop_requested = True
             world.log("stopping")
             world.emit(StopProcess())
             return
-        world.timers.set(
-            TimerKind.DRAIN, _EXIT, now_ns + _EXIT_CHECK_INTERVAL_NS
-        )
+        next_check_ns = now_ns + _EXIT_CHECK_INTERVAL_NS
+        if now_ns >= this_node.exit_deadline_ns:
+            self._end_requests(world, now_ns)
+            next_check_ns = now_ns + NS_PER_MS
+        world.timers.set(TimerKind.DRAIN, _EXIT, next_check_ns)
 
-    def _abort_requests(self, world: ForwardWorld, now_ns: int) -> None:
-        for request in list(world.requests.values()):
-            if request.origin is None:
-                world.emit(
-                    completion.build_error(world, request, ErrorKind.TIMEOUT)
-                )
-            completion.finish(world, request, now_ns)
+    def _end_requests(self, world: ForwardWorld, now_ns: int) -> None:
+        """Makes the answers due, with the parts that are in by now."""
+        for request in world.requests.values():
+            request.deadline_ns = min(request.deadline_ns, now_ns)
+            request.soft_deadline_ns = min(request.soft_deadline_ns, now_ns)
+            world.dirty_requests[request.request_id] = None
--- a/tests/unit/forwarding/test_fleet.py
+++ b/tests/unit/forwarding/test_fleet.py
@@ -2,7 +2,13 @@
 
 import msgspec
 import pytest
-from standins.forwarding import HOST, ForwardTicks, entry, merge_route
+from standins.forwarding import (
+    HOST,
+    ForwardTicks,
+    entry,
+    merge_route,
+    pass_route,
+)
 
 from snipesaddle._internal.systems.forwarding import activity, connections
 from snipesaddle._internal.systems.forwarding.fleet import heartbeat_targets
@@ -69,6 +75,34 @@
     assert ticks.taken(commands.StopProcess)
 
 
+@pytest.fixture
+def long_ticks() -> ForwardTicks:
+    routes = [
+        merge_route(4, timeout_ms=60_000, min_coverage=0.5),
+        pass_route(idempotent=False, timeout_ms=5_000),
+    ]
+    entries = [entry(f"s{number}", f"s{number}") for number in range(4)]
+    return ForwardTicks(routes, [*entries, entry("f", "file")])
+
+
+# The parts that had come in were dropped at the end of the grace.
+def test_a_node_that_exits_sends_the_parts_that_are_in(
+    long_ticks: ForwardTicks,
+) -> None:
+    ticks = long_ticks
+    ticks.ask(b"/sweep/x", time_limit_ms=60_000)
+    for attempt in ticks.taken(commands.SendAttempt)[:2]:
+        ticks.answer(attempt, b"r" * 16)
+    for part in next(iter(ticks.world.requests.values())).parts:
+        part.hedge_at_ns = 0
+    ticks.world.requests[next(iter(ticks.world.requests))].soft_deadline_ns *= 9
+    ticks.tick(events.DrainRequested())
+    ticks.advance(5_500, 50)
+    (merged,) = ticks.taken(commands.SendMergedAnswer)
+    assert merged.missing == 2
+    assert ticks.taken(commands.StopProcess)
+
+
 def test_connections_are_shared_among_the_nodes(ticks: ForwardTicks) -> None:
     endpoint = ticks.world.endpoints["s0a"]
     alone = connections.connection_quota(ticks.world, endpoint)
