Refuse what a leaving node may not finish before it exits

In a planned stop, requests that came late in the grace period were taken and passed on, and got a 504 at its end, among them requests that may not be repeated: the report of other operators, with an answer that tells nothing in place of none.

Cause: a leaving node took every request until it exited, whatever its time limit, even after its decision to stop.

A leaving node refuses a request at once, as not run, where its target latency does not fit before the exit; for one that must run only once, its whole time limit. There is no Retry-After then, since another node can take it at once.

--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -103,6 +103,9 @@
             self._refuse(world, arrived, ErrorKind.NOT_RUN, "no time left")
             return
         request = self._build_request(world, arrived, route, arrived_ns)
+        if not _may_finish(world, request):
+            self._refuse(world, arrived, ErrorKind.NOT_RUN, "leaving")
+            return
         world.requests[request.request_id] = request
         world.request_id_by_client[arrived.client_id] = request.request_id
         relaying.relay_remote_parts(world, request, self._chooser, now_ns)
@@ -151,7 +154,11 @@
         detail: str,
     ) -> None:
         world.counters.refused += 1
-        retry_ms = _RETRY_AFTER_MS if error_kind is ErrorKind.NOT_RUN else 0
+        is_leaving = world.this_node.phase is NodePhase.LEAVING
+        retry_ms = 0
+        # While this node leaves, another one can take the request at once.
+        if error_kind is ErrorKind.NOT_RUN and not is_leaving:
+            retry_ms = _RETRY_AFTER_MS
         world.log(
             "request_refused",
             request=arrived.client_request_id,
@@ -160,18 +167,32 @@
             config_version=world.active_config.version,
             store_ok=world.store.is_ok,
         )
-        close_connection = world.this_node.phase is NodePhase.LEAVING
         world.emit(
             SendError(
-                arrived.client_id,
-                error_kind,
-                detail,
-                retry_ms,
-                close_connection,
+                arrived.client_id, error_kind, detail, retry_ms, is_leaving
             )
         )
 
 
+def _may_finish(world: ForwardWorld, request: Request) -> bool:
+    """Returns whether this node can answer a request before it exits.
+
+    A request that must run only once cannot be repeated when it is cut, so all
+    of its time has to fit.
+    """
+    this_node = world.this_node
+    if this_node.stop_requested:
+        return False
+    if not this_node.exit_deadline_ns:
+        return True
+    due_ns = (
+        request.soft_deadline_ns
+        if request.route.idempotent
+        else request.deadline_ns
+    )
+    return due_ns <= this_node.exit_deadline_ns
+
+
 def choose_target(world: ForwardWorld, route: Route) -> str:
     """Returns the next target service by smooth weighted round robin."""
     targets = route.targets
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -1,5 +1,6 @@
 """Stand-ins of the users' platform: its store and leafs, on loopback."""
 
+import asyncio
 import base64
 import itertools
 import json
@@ -151,6 +152,7 @@
     records: list[int]
     status: int = 200
     mode: str = "sound"
+    work_s: float = 0.0
     runs: list[HttpRequest] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -186,8 +188,11 @@
             (b"Content-Length", b"%d" % length),
         )
         closing = self.mode == "short"
-        self.server.respond(
-            client_id, self.status, b"OK", headers, body, closing
+        asyncio.get_running_loop().call_later(
+            self.work_s,
+            lambda: self.server.respond(
+                client_id, self.status, b"OK", headers, body, closing
+            ),
         )
 
     def on_disconnect(self, client_id: int) -> None:
--- a/tests/unit/forwarding/test_fleet.py
+++ b/tests/unit/forwarding/test_fleet.py
@@ -4,6 +4,7 @@
 import pytest
 from standins.forwarding import (
     HOST,
+    NS_PER_MS,
     ForwardTicks,
     entry,
     merge_route,
@@ -75,6 +76,16 @@
     assert ticks.taken(commands.StopProcess)
 
 
+def leaving(ticks: ForwardTicks, left_ms: float) -> None:
+    """Stops a node, and advances until its exit is due in `left_ms`."""
+    ticks.tick(events.DrainRequested())
+    exit_ns = ticks.world.this_node.exit_deadline_ns
+    running = ticks.ask(b"/sweep/x", time_limit_ms=60_000)
+    ticks.advance(exit_ns / NS_PER_MS - left_ms - ticks.now_ms, 50)
+    assert running
+    ticks.commands.clear()
+
+
 @pytest.fixture
 def long_ticks() -> ForwardTicks:
     routes = [
@@ -85,6 +96,43 @@
     return ForwardTicks(routes, [*entries, entry("f", "file")])
 
 
+# A request that may not be repeated was taken late in the grace and cut.
+def test_a_leaving_node_refuses_what_it_may_not_finish(
+    long_ticks: ForwardTicks,
+) -> None:
+    ticks = long_ticks
+    leaving(ticks, left_ms=900)
+    ticks.ask(b"/file/x", time_limit_ms=5_000)
+    assert not ticks.taken(commands.SendAttempt)
+    (refusal,) = ticks.taken(commands.SendError)
+    assert refusal.error_kind is commands.ErrorKind.NOT_RUN
+    assert refusal.close_connection
+    assert refusal.retry_after_ms == 0
+
+
+def test_a_leaving_node_serves_what_it_can_finish(
+    long_ticks: ForwardTicks,
+) -> None:
+    ticks = long_ticks
+    leaving(ticks, left_ms=900)
+    ticks.ask(b"/file/x", time_limit_ms=800)
+    ticks.ask(b"/sweep/x", time_limit_ms=5_000)
+    assert len(ticks.taken(commands.SendAttempt)) == 5
+
+
+def test_a_node_passes_nothing_on_after_its_decision_to_stop(
+    long_ticks: ForwardTicks,
+) -> None:
+    ticks = long_ticks
+    ticks.tick(events.DrainRequested())
+    ticks.advance(5_500, 50)
+    assert ticks.taken(commands.StopProcess)
+    ticks.ask(b"/sweep/x")
+    assert not ticks.taken(commands.SendAttempt)
+    (refusal,) = ticks.taken(commands.SendError)
+    assert refusal.error_kind is commands.ErrorKind.NOT_RUN
+
+
 # The parts that had come in were dropped at the end of the grace.
 def test_a_node_that_exits_sends_the_parts_that_are_in(
     long_ticks: ForwardTicks,
