--- a/src/snipesaddle/_internal/systems/routing.py
+++ b/src/snipesaddle/_internal/systems/routing.py
@@ -20,19 +20,15 @@
 from snipesaddle._internal.tables.world import World
 
 _HEDGE_CAP_TOKENS = 10.0
-_HEDGE_START_TOKENS = 0.0
 _RETRY_RATIO = 0.2
 _RETRY_CAP_TOKENS = 100.0
-_RETRY_START_TOKENS = 100.0
 
 
 def hedge_budget(world: World, spec: ServiceSpec) -> Budget:
     """Returns the hedge budget of a service's class."""
     budget = world.hedge_budgets.get(spec.class_name)
     if budget is None:
-        budget = Budget(
-            spec.hedge_extra_load, _HEDGE_CAP_TOKENS, _HEDGE_START_TOKENS
-        )
+        budget = Budget(spec.hedge_extra_load, _HEDGE_CAP_TOKENS)
         world.hedge_budgets[spec.class_name] = budget
     budget.ratio = spec.hedge_extra_load
     return budget
@@ -42,7 +38,7 @@
     """Returns the retry budget of a service's class."""
     budget = world.retry_budgets.get(spec.class_name)
     if budget is None:
-        budget = Budget(_RETRY_RATIO, _RETRY_CAP_TOKENS, _RETRY_START_TOKENS)
+        budget = Budget(_RETRY_RATIO, _RETRY_CAP_TOKENS)
         world.retry_budgets[spec.class_name] = budget
     return budget
 
--- a/src/snipesaddle/_internal/tables/budgets.py
+++ b/src/snipesaddle/_internal/tables/budgets.py
@@ -7,6 +7,8 @@
 class Budget:
     """A token bucket that is refilled by primary calls, not by time.
 
+    It starts empty, since an earlier run of the process may have emptied it.
+
     Attributes:
       ratio: tokens added for each primary call.
       max_tokens: maximum number of tokens.
@@ -16,7 +18,7 @@
 
     ratio: float
     max_tokens: float
-    tokens: float
+    tokens: float = 0.0
     paused_until_ns: int = 0
 
     def deposit(self) -> None:
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -94,6 +94,23 @@
     assert run.take(StartCall) == []
 
 
+# Each run of a node started with a full bucket of retries.
+def test_restarts_do_not_renew_the_retry_budget() -> None:
+    calls = 0
+    retries = 0
+    for _ in range(4):
+        run = ticks()
+        for _ in range(5):
+            run.search("lookup")
+            for _ in range(6):
+                run.tick(50)
+                for call in run.take(StartCall):
+                    run.finish(call, CallResult.REFUSED)
+        calls += run.world.counters.primary_calls
+        retries += run.world.counters.retry_calls
+    assert 0 < retries <= 0.2 * calls
+
+
 def test_ejection_never_takes_a_shards_last_leaf() -> None:
     run = ticks()
     for _ in range(10):
