Try random faults on the limits of a simulated fleet

Kills of one and of all nodes, cuts, outages of the store, lost messages and slow connections come in series and overlap, by seed; the retry budget of the fleet and the connection limits are checked from what endpoints see.

--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -157,7 +157,8 @@
         self.now_ns = end_ns
 
     def start(self, name: str) -> None:
-        """Starts a node's process."""
+        """Starts a node's process, in place of one that runs."""
+        self.kill(name)
         address = f"{name}:1"
         settings = ForwardSettings(
             node=NodeSettings(
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -1,6 +1,8 @@
 """What all nodes together send beyond the first of a request, over restarts."""
 
 import dataclasses
+import os
+import random
 from typing import Any
 
 from standins.forwarding import entry, merge_route
@@ -14,6 +16,9 @@
 )
 
 SEEDS = (1, 2, 3)
+# More seeds by hand: FLEET_SEEDS=50.
+RANDOM_SEEDS = range(1, 1 + int(os.environ.get("FLEET_SEEDS", "2")))
+RANDOM_STEPS = 12
 SHARDS = 4
 ZONES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
 REQUEST_GAP_MS = 18.0
@@ -146,3 +151,40 @@
         fleet.faults = dataclasses.replace(LOADED, cut_off=frozenset({"e4"}))
         load(fleet, 20_000)
         assert worst_overrun(fleet) <= 0
+
+
+def disturb(fleet: SimulatedFleet, rng: random.Random) -> None:
+    """Applies one random fault, or ends those of connections and messages."""
+    match rng.randrange(8):
+        case 0:
+            for name in ZONES:
+                fleet.restart(name, rng.uniform(100, 900))
+        case 1:
+            fleet.restart(rng.choice(list(ZONES)), rng.uniform(100, 4_000))
+        case 2:
+            fleet.faults.cut_off = frozenset({rng.choice(list(ZONES))})
+        case 3:
+            fleet.faults.store_is_down = rng.random() < 0.5
+        case 4:
+            fleet.faults.message_loss_ratio = rng.choice([0.0, 0.3])
+            fleet.faults.connect_ms = rng.choice([6.0, 60.0, 400.0])
+        case _:
+            fleet.faults.cut_off = frozenset()
+            fleet.faults.store_is_down = False
+            burst(fleet)
+
+
+def test_random_faults_keep_to_the_limits_of_the_fleet() -> None:
+    for seed in RANDOM_SEEDS:
+        rng = random.Random(seed)
+        fleet = started_fleet(seed, tuple(ZONES))
+        fleet.faults = Faults(
+            refused_ratio=rng.uniform(0.0, 0.3),
+            lost_ratio=rng.uniform(0.1, 0.3),
+            slow_ratio=rng.uniform(0.0, 0.4),
+        )
+        for _ in range(RANDOM_STEPS):
+            disturb(fleet, rng)
+            load(fleet, rng.uniform(100, 5_000))
+        assert worst_overrun(fleet) <= 0, seed
+        assert max(fleet.peak_connections.values()) <= CONNECTIONS, seed
