Show two ways over the limits of the fleet that are left

Nodes that all start for the first time within 20 ms hold 37 connections of 20 for half a second: each lists only those that registered before it.

--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -25,6 +25,7 @@
 TIME_LIMIT_MS = 5_000
 CONNECTIONS = 20
 LOADED = Faults(refused_ratio=0.15, lost_ratio=0.2, slow_ratio=0.3)
+WAVE = Faults(refused_ratio=0.4, lost_ratio=0.3, slow_ratio=0.3)
 
 
 def started_fleet(
@@ -102,6 +103,21 @@
         assert worst_overrun(fleet) <= 0
 
 
+# What one run had left unspent in a calm window, and the next run's ratio.
+def test_a_restart_in_a_wave_of_failures_keeps_to_the_retry_budget() -> None:
+    for seed in SEEDS:
+        for gap_ms in (0, 1_000):
+            fleet = started_fleet(seed, tuple(ZONES))
+            load(fleet, 11_000)
+            fleet.faults = dataclasses.replace(WAVE)
+            load(fleet, 2_000)
+            for name in ZONES:
+                fleet.restart(name, 300)
+                load(fleet, gap_ms)
+            load(fleet, 12_000)
+            assert worst_overrun(fleet) <= 0, (seed, gap_ms)
+
+
 # A node that had heard of no other one yet spent the budget of the whole fleet.
 def test_one_restart_of_all_nodes_keeps_to_the_retry_budget() -> None:
     for seed in SEEDS:
@@ -188,3 +204,17 @@
             load(fleet, rng.uniform(100, 5_000))
         assert worst_overrun(fleet) <= 0, seed
         assert max(fleet.peak_connections.values()) <= CONNECTIONS, seed
+
+
+# Nodes that start at once, with no registrations yet, each list few others.
+def test_nodes_that_start_for_the_first_time_keep_to_the_connection_limit() -> (
+    None
+):
+    fleet = started_fleet(1, ())
+    fleet.faults = dataclasses.replace(LOADED, slow_ratio=1.0)
+    for name in ZONES:
+        fleet.start(name)
+        fleet.advance(5)
+    fleet.advance(30)
+    burst(fleet)
+    assert max(fleet.peak_connections.values()) <= CONNECTIONS
