Bound what a node saves of the retry budget's ratio

Callers' repeats could go over the budget of a service where nodes restart soon after many endpoints begin to fail.

Cause: the ratio part was counted over the window like the slack. A run that had a calm window before spent all of it at once when endpoints failed, and the run after it had the ratio of its own requests again: up to the ratio of two windows within one.

First sends now add tokens that retries and hedges take, and at most a tenth of what a window allows is saved; only the slack is counted in a window. Over any window, all runs together send at most 0.85 of the ratio of its requests, the saved tokens and 0.85 of the slack, whenever they were restarted.

Tests that read the window's sum of retries read the slack's now, with the same bounds.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -5,6 +5,7 @@
     containment,
     load_balancing,
     placement,
+    retries,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import CloseConnection
@@ -222,8 +223,8 @@
     if world.attempts.pop(attempt.attempt_id, None) is None:
         return
     world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
-    if attempt.is_extra and not attempt.sent_ns:
-        world.retry_budget(attempt.service).release_extra()
+    if attempt.charge is not None and not attempt.sent_ns:
+        retries.release(world, attempt.service, attempt.charge)
     endpoint = world.endpoints.get(attempt.endpoint_id)
     if endpoint is not None:
         endpoint.in_flight -= 1
--- a/src/snipesaddle/_internal/systems/forwarding/hedging.py
+++ b/src/snipesaddle/_internal/systems/forwarding/hedging.py
@@ -90,12 +90,13 @@
         ]
         if not connectable:
             return
-        if not retries.may_hedge(world, part.service, now_ns):
-            world.counters.budget_denials += 1
-            return
         endpoint = self._chooser.choose(
             world, connectable, request.route, now_ns
         )
-        placement.start_attempt(world, request, index, endpoint, now_ns)
+        charge = retries.reserve_hedge(world, part.service, now_ns)
+        if charge is None:
+            world.counters.budget_denials += 1
+            return
+        placement.start_attempt(world, request, index, endpoint, now_ns, charge)
         part.hedged = True
         world.counters.hedges += 1
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -10,6 +10,7 @@
     EndpointChooser,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.budgets import ExtraCharge
 from snipesaddle._internal.tables.forwarding.commands import SendAttempt
 from snipesaddle._internal.tables.forwarding.endpoints import (
     ConnectionState,
@@ -122,14 +123,14 @@
     index: int,
     endpoint: Endpoint,
     now_ns: int,
+    charge: ExtraCharge | None = None,
 ) -> None:
     """Starts an attempt of a part on an endpoint with a connection to spare.
 
     The attempt is sent at once on an idle connection, else when the new
-    connection has opened.
+    connection has opened. A retry or a hedge needs a charge.
     """
     part = request.parts[index]
-    is_extra = part.send_count > 0 or bool(part.attempts)
     attempt_id = world.next_id()
     connection = connections.acquire(
         world, endpoint, attempt_id, now_ns, not request.route.idempotent
@@ -143,7 +144,7 @@
         connection_id=connection.connection_id,
         route_name=request.route.name,
         chosen_ns=now_ns,
-        is_extra=is_extra,
+        charge=charge,
     )
     world.attempts[attempt_id] = attempt
     part.attempts.append(attempt_id)
@@ -151,8 +152,6 @@
     part.state = PartState.RUNNING
     endpoint.in_flight += 1
     world.counters.attempts += 1
-    if is_extra:
-        world.retry_budget(part.service).reserve_extra()
     if connection.state is not ConnectionState.OPENING:
         send_attempt(world, request, attempt, endpoint, now_ns)
 
@@ -167,10 +166,8 @@
     """Sends an attempt on its open connection."""
     part = request.parts[attempt.part_index]
     attempt.sent_ns = now_ns
-    if attempt.is_extra:
-        retry_budget = world.retry_budget(attempt.service)
-        retry_budget.release_extra()
-        retry_budget.count_extra(now_ns)
+    if attempt.charge is not None:
+        retries.count_sent(world, attempt.service, attempt.charge, now_ns)
     part.possible_runs += 1
     part.run_endpoint_ids.append(endpoint.endpoint_id)
     part.send_count += 1
@@ -202,7 +199,7 @@
     for index, part in enumerate(request.parts):
         if part.state is PartState.PENDING:
             if count_in_budget:
-                world.retry_budget(part.service).count_request(now_ns)
+                retries.count_request(world, part.service, now_ns)
             world.pending_parts.append((request.request_id, index))
 
 
@@ -267,15 +264,18 @@
             part.cause = MissingCause.NO_CONNECTION
             world.pool(part.service).waiting.append((request.request_id, index))
             return
-        is_retry = part.send_count > 0
-        if is_retry and not retries.may_retry(world, part.service, now_ns):
-            world.counters.budget_denials += 1
-            mark_missing(world, request, part, MissingCause.BUDGET)
-            return
         endpoint = self._chooser.choose(
             world, connectable, request.route, now_ns
         )
-        start_attempt(world, request, index, endpoint, now_ns)
+        is_retry = part.send_count > 0
+        charge = None
+        if is_retry:
+            charge = retries.reserve_retry(world, part.service, now_ns)
+            if charge is None:
+                world.counters.budget_denials += 1
+                mark_missing(world, request, part, MissingCause.BUDGET)
+                return
+        start_attempt(world, request, index, endpoint, now_ns, charge)
         if is_retry:
             world.counters.retries += 1
         elif request.route.idempotent and request.route.max_attempts > 1:
--- a/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
@@ -9,6 +9,7 @@
     containment,
     placement,
     relaying,
+    retries,
     wakeups,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -67,9 +68,7 @@
         else:
             for index in relay.part_indexes:
                 part = request.parts[index]
-                world.retry_budget(part.service).count_request(
-                    request.arrived_ns
-                )
+                retries.count_request(world, part.service, now_ns)
         _end_failed_relay(
             world, request, relay, "not connected", now_ns, may_have_run=False
         )
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -80,7 +80,7 @@
         allowed = tuple(
             index
             for index in indexes
-            if retries.may_hedge(world, request.parts[index].service, now_ns)
+            if _pay_for_hedge(world, request.parts[index].service, now_ns)
         )
         world.counters.budget_denials += len(indexes) - len(allowed)
         if allowed:
@@ -151,6 +151,15 @@
     return by_zone
 
 
+def _pay_for_hedge(world: ForwardWorld, service: str, now_ns: int) -> bool:
+    """Counts a hedge that another node sends, if the budget allows it."""
+    charge = retries.reserve_hedge(world, service, now_ns)
+    if charge is None:
+        return False
+    retries.count_sent(world, service, charge, now_ns)
+    return True
+
+
 def _send_hedge_relay(
     world: ForwardWorld,
     request: Request,
@@ -166,7 +175,6 @@
         part.possible_runs += 1
         part.relayed_runs += 1
         part.send_count += 1
-        world.retry_budget(part.service).count_extra(now_ns)
         world.counters.hedges += 1
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/retries.py
+++ b/src/snipesaddle/_internal/systems/forwarding/retries.py
@@ -3,69 +3,113 @@
 Answers the load pattern of many endpoints that lose answers or fail at once:
 hedges, which may turn out needless, leave a part of the budget to the retries
 of parts that have failed.
+
+A window may contain sends of several runs of a node, and a run does not know
+what the one before it sent. So no run uses the slack in its first window, and
+what the first sends allow is spent soon after them or not at all: the sum over
+all runs follows the requests, except for the few tokens that a run may save.
 """
 
 from snipesaddle._internal.systems.forwarding import fleet_shares
 from snipesaddle._internal.systems.tick import NS_PER_S
+from snipesaddle._internal.tables.forwarding.budgets import (
+    BudgetLimits,
+    ExtraCharge,
+    RetryBudget,
+)
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
-# The rest is a reserve for nodes that join, and for time windows that begin
-# elsewhere than those counted here.
+# The part of the budget that is spent. Of the rest, _SAVED_BUDGET_RATIO may be
+# saved as tokens, and the last part is a reserve for nodes that join.
 _USED_BUDGET_RATIO = 0.85
-# Hedges use at most this part of the budget.
+_SAVED_BUDGET_RATIO = 0.1
+# Hedges use at most this part of the slack, and of the tokens.
 _HEDGE_BUDGET_RATIO = 0.75
 
 
-def may_retry(world: ForwardWorld, service: str, now_ns: int) -> bool:
-    """Returns whether the budget allows one more retry of a failed part."""
-    return _is_within(world, service, now_ns, _USED_BUDGET_RATIO)
+def count_request(world: ForwardWorld, service: str, now_ns: int) -> None:
+    """Counts the first send of a part, which allows part of a retry."""
+    budget = _current_budget(world, service, now_ns)
+    budget.count_request(_limits(world, budget, now_ns))
+
+
+def reserve_retry(
+    world: ForwardWorld, service: str, now_ns: int
+) -> ExtraCharge | None:
+    """Reserves a retry of a failed part; None if the budget is exhausted."""
+    budget = _current_budget(world, service, now_ns)
+    return budget.reserve(_limits(world, budget, now_ns).slack)
+
+
+def reserve_hedge(
+    world: ForwardWorld, service: str, now_ns: int
+) -> ExtraCharge | None:
+    """Reserves a hedge of a late part; None if the budget is exhausted."""
+    budget = _current_budget(world, service, now_ns)
+    limits = _limits(world, budget, now_ns)
+    left_to_retries = limits.max_tokens * (1 - _HEDGE_BUDGET_RATIO)
+    min_tokens = min(limits.max_tokens, 1 + left_to_retries)
+    return budget.reserve(limits.slack * _HEDGE_BUDGET_RATIO, min_tokens)
 
 
-def may_hedge(world: ForwardWorld, service: str, now_ns: int) -> bool:
-    """Returns whether the budget allows one more hedge of a late part."""
-    used_ratio = _USED_BUDGET_RATIO * _HEDGE_BUDGET_RATIO
-    return _is_within(world, service, now_ns, used_ratio)
+def count_sent(
+    world: ForwardWorld, service: str, charge: ExtraCharge, now_ns: int
+) -> None:
+    """Counts a reserved retry or hedge when it is sent."""
+    _current_budget(world, service, now_ns).count_sent(charge)
+
+
+def release(world: ForwardWorld, service: str, charge: ExtraCharge) -> None:
+    """Gives back a reserved retry or hedge, which is never sent."""
+    world.retry_budget(service).release(charge)
 
 
 def log_use(world: ForwardWorld, now_ns: int) -> None:
-    """Logs the service with the most extra sends, and what limits them."""
+    """Logs the service that has used most slack, and what limits it."""
     if not world.retry_budgets:
         return
-    service, budget = max(
-        world.retry_budgets.items(), key=lambda item: item[1].extra_sum
+    service = max(
+        world.retry_budgets,
+        key=lambda name: world.retry_budgets[name].slack_sum,
     )
-    if not budget.extra_sum:
+    budget = _current_budget(world, service, now_ns)
+    if not budget.slack_sum:
         return
-    slack = _slack(world, now_ns, _USED_BUDGET_RATIO)
-    remaining = budget.remaining(
-        now_ns, world.settings.retries.ratio * _USED_BUDGET_RATIO, slack
-    )
+    limits = _limits(world, budget, now_ns)
     world.log(
         "retry_budget",
         service=service,
         requests=budget.request_sum,
-        extras=budget.extra_sum,
-        remaining=round(remaining, 1),
-        slack=round(slack, 1),
+        tokens=round(budget.tokens, 1),
+        max_tokens=round(limits.max_tokens, 1),
+        slack_sends=budget.slack_sum,
+        slack=round(limits.slack, 1),
         fleet_size=world.fleet.recent_max_size,
         active_share=round(world.fleet.active_share, 3),
         denials=world.counters.budget_denials,
     )
 
 
-def _slack(world: ForwardWorld, now_ns: int, used_ratio: float) -> float:
-    settings = world.settings.retries
-    # The previous run of this node may have spent its share until the end, and
-    # each window counts what both runs send.
-    if now_ns - world.this_node.started_ns < settings.window_s * NS_PER_S:
-        return 0.0
-    return fleet_shares.share_of(world, settings.slack * used_ratio)
+def _current_budget(
+    world: ForwardWorld, service: str, now_ns: int
+) -> RetryBudget:
+    budget = world.retry_budget(service)
+    budget.advance(now_ns)
+    return budget
 
 
-def _is_within(
-    world: ForwardWorld, service: str, now_ns: int, used_ratio: float
-) -> bool:
+def _limits(
+    world: ForwardWorld, budget: RetryBudget, now_ns: int
+) -> BudgetLimits:
     settings = world.settings.retries
-    slack = _slack(world, now_ns, used_ratio)
-    ratio = settings.ratio * used_ratio
-    return world.retry_budget(service).remaining(now_ns, ratio, slack) >= 1
+    slack = fleet_shares.share_of(world, settings.slack)
+    allowed = settings.ratio * budget.request_sum + slack
+    usable_slack = slack * _USED_BUDGET_RATIO
+    window_ns = settings.window_s * NS_PER_S
+    if now_ns - world.this_node.started_ns < window_ns:
+        usable_slack = 0.0
+    return BudgetLimits(
+        ratio=settings.ratio * _USED_BUDGET_RATIO,
+        max_tokens=max(1.0, _SAVED_BUDGET_RATIO * allowed),
+        slack=usable_slack,
+    )
--- a/src/snipesaddle/_internal/tables/forwarding/budgets.py
+++ b/src/snipesaddle/_internal/tables/forwarding/budgets.py
@@ -1,5 +1,12 @@
-"""Retry budgets: limits retries and hedges to a share of the requests."""
+"""Retry budgets: limits retries and hedges to a share of the requests.
 
+Each first send of a part adds a fraction of a token, and a retry or hedge takes
+a whole one. Where there is none, it uses the slack, a number of sends within a
+sliding window. The tokens are limited, so that what a run of the process has
+saved, and the next run cannot know to be spent, stays small.
+"""
+
+import enum
 from dataclasses import dataclass, field
 
 # The window has the length of one bucket fewer, so that the buckets, of which
@@ -7,9 +14,31 @@
 _BUCKET_COUNT = 20
 
 
+class ExtraCharge(enum.Enum):
+    """What pays for a send beyond the first of a part: a retry or a hedge."""
+
+    TOKEN = "token"
+    SLACK = "slack"
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetLimits:
+    """What a retry budget allows at present.
+
+    Attributes:
+      ratio: tokens added for each first send of a part.
+      max_tokens: the most tokens, those of sends that wait included.
+      slack: the most sends within the window that no token pays for.
+    """
+
+    ratio: float
+    max_tokens: float
+    slack: float
+
+
 @dataclass(slots=True)
 class RetryBudget:
-    """The retry budget of one service, from counts in a sliding window.
+    """The retry budget of one service.
 
     The window is divided into buckets; old counts expire bucket by bucket.
 
@@ -17,62 +46,77 @@
       window_ns: the length of the window.
       bucket_number: the number of the current bucket since the clock's zero.
       requests: first sends of a part, by bucket modulo _BUCKET_COUNT.
-      extras: sends beyond the first (retries and hedges), likewise.
+      slack_sends: sends that the slack has paid for, likewise.
       request_sum: first sends in the window.
-      extra_sum: extra sends in the window.
-      waiting_extras: extra sends that wait for their connection; they enter
-        the window when they are sent.
+      slack_sum: sends in the window that the slack has paid for.
+      tokens: how many sends the first sends have paid for.
+      waiting: extra sends that wait for their connection, by what pays for
+        them; they enter the window when they are sent.
     """
 
     window_ns: int
     bucket_number: int = 0
     requests: list[int] = field(default_factory=lambda: [0] * _BUCKET_COUNT)
-    extras: list[int] = field(default_factory=lambda: [0] * _BUCKET_COUNT)
+    slack_sends: list[int] = field(default_factory=lambda: [0] * _BUCKET_COUNT)
     request_sum: int = 0
-    extra_sum: int = 0
-    waiting_extras: int = 0
+    slack_sum: int = 0
+    tokens: float = 0.0
+    waiting: dict[ExtraCharge, int] = field(
+        default_factory=lambda: dict.fromkeys(ExtraCharge, 0)
+    )
 
-    def count_request(self, now_ns: int) -> None:
-        """Counts the first send of a part."""
-        self._advance(now_ns)
+    def count_request(self, limits: BudgetLimits) -> None:
+        """Counts the first send of a part; `advance` comes before it."""
         self.requests[self.bucket_number % _BUCKET_COUNT] += 1
         self.request_sum += 1
+        max_tokens = limits.max_tokens - self.waiting[ExtraCharge.TOKEN]
+        self.tokens = max(0.0, min(self.tokens + limits.ratio, max_tokens))
 
-    def count_extra(self, now_ns: int) -> None:
-        """Counts a send beyond the first: a retry or a hedge."""
-        self._advance(now_ns)
-        self.extras[self.bucket_number % _BUCKET_COUNT] += 1
-        self.extra_sum += 1
+    def slack_left(self, slack: float) -> float:
+        """Returns how many more sends the slack allows now."""
+        return slack - self.slack_sum - self.waiting[ExtraCharge.SLACK]
 
-    def reserve_extra(self) -> None:
-        """Counts an extra send that is about to be sent."""
-        self.waiting_extras += 1
+    def reserve(
+        self, slack: float, min_tokens: float = 1.0
+    ) -> ExtraCharge | None:
+        """Reserves an extra send; None if the budget does not allow it.
 
-    def release_extra(self) -> None:
-        """Stops counting a reserved extra send; it was sent, or never will."""
-        self.waiting_extras -= 1
+        Args:
+          slack: the most sends within the window that no token pays for.
+          min_tokens: with fewer tokens than this, the slack has to pay.
+        """
+        if self.tokens >= min_tokens:
+            self.tokens -= 1
+            charge = ExtraCharge.TOKEN
+        elif self.slack_left(slack) >= 1:
+            charge = ExtraCharge.SLACK
+        else:
+            return None
+        self.waiting[charge] += 1
+        return charge
 
-    def remaining(self, now_ns: int, ratio: float, slack: float) -> float:
-        """Returns how many more retries and hedges the budget allows now.
+    def count_sent(self, charge: ExtraCharge) -> None:
+        """Counts a reserved extra send as sent; `advance` comes before it."""
+        self.waiting[charge] -= 1
+        if charge is ExtraCharge.SLACK:
+            self.slack_sends[self.bucket_number % _BUCKET_COUNT] += 1
+            self.slack_sum += 1
 
-        The budget is `ratio` times the requests in the window, plus `slack`.
-        """
-        self._advance(now_ns)
-        return (
-            ratio * self.request_sum
-            + slack
-            - self.extra_sum
-            - self.waiting_extras
-        )
-
-    def _advance(self, now_ns: int) -> None:
+    def release(self, charge: ExtraCharge) -> None:
+        """Gives back a reserved extra send, which is never sent."""
+        self.waiting[charge] -= 1
+        if charge is ExtraCharge.TOKEN:
+            self.tokens += 1
+
+    def advance(self, now_ns: int) -> None:
+        """Moves the window to the current time."""
         bucket_number = now_ns * (_BUCKET_COUNT - 1) // self.window_ns
         steps = min(bucket_number - self.bucket_number, _BUCKET_COUNT)
         for step in range(1, steps + 1):
             index = (bucket_number - steps + step) % _BUCKET_COUNT
             self.request_sum -= self.requests[index]
-            self.extra_sum -= self.extras[index]
+            self.slack_sum -= self.slack_sends[index]
             self.requests[index] = 0
-            self.extras[index] = 0
+            self.slack_sends[index] = 0
         if steps > 0:
             self.bucket_number = bucket_number
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from snipesaddle._internal.tables.forwarding.budgets import ExtraCharge
 from snipesaddle._internal.tables.forwarding.routes import Route
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -196,7 +197,7 @@
     Attributes:
       chosen_ns: when its endpoint was chosen.
       sent_ns: when it was sent on its connection; 0 while that opens.
-      is_extra: whether its part was sent before, so it is a retry or a hedge.
+      charge: what pays for it in the retry budget, if it is a retry or a hedge.
       abandoned: whether its answer is no longer needed.
     """
 
@@ -209,5 +210,5 @@
     route_name: str
     chosen_ns: int
     sent_ns: int = 0
-    is_extra: bool = False
+    charge: ExtraCharge | None = None
     abandoned: bool = False
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -24,6 +24,7 @@
 REQUEST_GAP_MS = 18.0
 TIME_LIMIT_MS = 5_000
 CONNECTIONS = 20
+CALM = Faults(refused_ratio=0.02, lost_ratio=0.02, slow_ratio=0.04)
 LOADED = Faults(refused_ratio=0.15, lost_ratio=0.2, slow_ratio=0.3)
 WAVE = Faults(refused_ratio=0.4, lost_ratio=0.3, slow_ratio=0.3)
 
@@ -169,9 +170,16 @@
         assert worst_overrun(fleet) <= 0
 
 
+def set_failures(fleet: SimulatedFleet, failing: Faults) -> None:
+    """Makes endpoints fail as in `failing`; other faults stay."""
+    fleet.faults.refused_ratio = failing.refused_ratio
+    fleet.faults.lost_ratio = failing.lost_ratio
+    fleet.faults.slow_ratio = failing.slow_ratio
+
+
 def disturb(fleet: SimulatedFleet, rng: random.Random) -> None:
-    """Applies one random fault, or ends those of connections and messages."""
-    match rng.randrange(8):
+    """Applies random faults, or ends those of connections and messages."""
+    match rng.randrange(10):
         case 0:
             for name in ZONES:
                 fleet.restart(name, rng.uniform(100, 900))
@@ -184,6 +192,15 @@
         case 4:
             fleet.faults.message_loss_ratio = rng.choice([0.0, 0.3])
             fleet.faults.connect_ms = rng.choice([6.0, 60.0, 400.0])
+        case 5:
+            set_failures(fleet, rng.choice([CALM, LOADED, WAVE]))
+        case 6:
+            set_failures(fleet, CALM)
+            load(fleet, rng.uniform(5_000, 12_000))
+            set_failures(fleet, WAVE)
+            load(fleet, rng.uniform(500, 4_000))
+            for name in ZONES:
+                fleet.restart(name, rng.uniform(100, 900))
         case _:
             fleet.faults.cut_off = frozenset()
             fleet.faults.store_is_down = False
--- a/tests/unit/forwarding/test_fleet_shares.py
+++ b/tests/unit/forwarding/test_fleet_shares.py
@@ -41,8 +41,8 @@
 
 def spend_all(world: ForwardWorld, now_ns: int) -> int:
     spent = 0
-    while retries.may_retry(world, "s0", now_ns):
-        world.retry_budget("s0").count_extra(now_ns)
+    while charge := retries.reserve_retry(world, "s0", now_ns):
+        retries.count_sent(world, "s0", charge, now_ns)
         spent += 1
     return spent
 
@@ -120,8 +120,8 @@
     now_ns = NS_PER_S
     hedges = 0
     for _ in range(100):
-        world.retry_budget("s0").count_request(now_ns)
-    while retries.may_hedge(world, "s0", now_ns):
-        world.retry_budget("s0").count_extra(now_ns)
+        retries.count_request(world, "s0", now_ns)
+    while charge := retries.reserve_hedge(world, "s0", now_ns):
+        retries.count_sent(world, "s0", charge, now_ns)
         hedges += 1
     assert spend_all(world, now_ns) >= hedges // 4
--- a/tests/unit/forwarding/test_policies.py
+++ b/tests/unit/forwarding/test_policies.py
@@ -7,7 +7,11 @@
 
 from snipesaddle._internal.models.forwarding import RetrySettings
 from snipesaddle._internal.systems.forwarding import deadlines, retries
-from snipesaddle._internal.tables.forwarding.budgets import RetryBudget
+from snipesaddle._internal.tables.forwarding.budgets import (
+    BudgetLimits,
+    ExtraCharge,
+    RetryBudget,
+)
 from snipesaddle._internal.tables.forwarding.latencies import (
     LongestTimeLimit,
     RouteLatency,
@@ -17,6 +21,7 @@
     Part,
     Request,
 )
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -107,37 +112,64 @@
 
 def test_a_retry_budget_limits_extras_to_ratio_and_slack() -> None:
     retry_budget = RetryBudget(10 * S)
+    limits = BudgetLimits(ratio=0.2, max_tokens=2.0, slack=5.0)
     spent = 0
     for turn in range(1_000):
-        now_ns = turn * 10 * MS
-        retry_budget.count_request(now_ns)
-        if retry_budget.remaining(now_ns, 0.2, 5.0) >= 1:
-            retry_budget.count_extra(now_ns)
+        retry_budget.advance(turn * 10 * MS)
+        retry_budget.count_request(limits)
+        charge = retry_budget.reserve(limits.slack)
+        if charge is not None:
+            retry_budget.count_sent(charge)
             spent += 1
     assert 0.2 * 1_000 - 2 <= spent <= 0.2 * 1_000 + 5
 
 
 def test_a_retry_budget_forgets_old_extras() -> None:
     retry_budget = RetryBudget(10 * S)
+    retry_budget.advance(1 * S)
     for _ in range(50):
-        retry_budget.count_extra(1 * S)
-    assert retry_budget.remaining(2 * S, 0.2, 10.0) < 0
-    assert retry_budget.remaining(12 * S, 0.2, 10.0) == 10.0
+        charge = retry_budget.reserve(50.0)
+        assert charge is ExtraCharge.SLACK
+        retry_budget.count_sent(charge)
+    retry_budget.advance(2 * S)
+    assert retry_budget.slack_left(10.0) < 0
+    assert retry_budget.reserve(50.0) is None
+    retry_budget.advance(12 * S)
+    assert retry_budget.slack_left(10.0) == 10.0
+
+
+def test_tokens_are_limited_however_long_it_is_calm() -> None:
+    retry_budget = RetryBudget(10 * S)
+    limits = BudgetLimits(ratio=0.2, max_tokens=3.0, slack=0.0)
+    for turn in range(1_000):
+        retry_budget.advance(turn * 10 * MS)
+        retry_budget.count_request(limits)
+    reserved = [retry_budget.reserve(limits.slack) for _ in range(10)]
+    assert reserved.count(ExtraCharge.TOKEN) == 3
+    # Those that wait to be sent still count for the limit.
+    for _ in range(100):
+        retry_budget.count_request(limits)
+    assert retry_budget.reserve(limits.slack) is None
+
+
+def send_retry(world: ForwardWorld, now_ns: int) -> bool:
+    charge = retries.reserve_retry(world, "s0", now_ns)
+    if charge is not None:
+        retries.count_sent(world, "s0", charge, now_ns)
+    return charge is not None
 
 
 def test_no_span_of_a_window_exceeds_the_budget() -> None:
     rng = random.Random(7)
     world = ForwardTicks([], [], retries=RetrySettings(slack=5)).world
-    retry_budget = world.retry_budget("s0")
     now_ns = 0
     spent: list[int] = []
     asked: list[int] = []
     for _ in range(3_000):
         now_ns += int(rng.expovariate(40) * S)
-        retry_budget.count_request(now_ns)
+        retries.count_request(world, "s0", now_ns)
         asked.append(now_ns)
-        if rng.random() < 0.6 and retries.may_retry(world, "s0", now_ns):
-            retry_budget.count_extra(now_ns)
+        if rng.random() < 0.6 and send_retry(world, now_ns):
             spent.append(now_ns)
     for start_ns in spent:
         end_ns = start_ns + 10 * S
--- a/tests/unit/forwarding/test_relays.py
+++ b/tests/unit/forwarding/test_relays.py
@@ -297,7 +297,7 @@
     assert ask.services == ("s0", "s1", "s2")
     assert not ticks.taken(commands.SendAttempt)
     retry_budget = ticks.world.retry_budget("s0")
-    assert retry_budget.extra_sum == 1
+    assert retry_budget.slack_sum == 1
     ticks.tick(RelayReply(ask.relay_id, record_bytes(9), (b"x", b"y", b"z")))
     (merged,) = ticks.taken(commands.SendMergedAnswer)
     assert merged.missing == 0
