Take the size of the fleet from a list only once it names this node

Endpoints reset connections over their limit after a first start of all nodes.

Cause: nodes that start at the same time read the list of nodes before the others have written their records, so each took the fleet for smaller, up to the next heartbeat: up to the whole limit for the first node.

The records count for the size once the node's own one is among them. Of any two nodes, at least one then has the other in its list, and tells it with a heartbeat at once. The first watch of the nodes starts when the own record is written, so that this takes one call. A node that cannot write its record goes by the list after two seconds, or by the size that others report.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -81,7 +81,7 @@
 
 
 def announce_phase(world: ForwardWorld) -> None:
-    """Tells all nodes at once that this node starts to serve or to leave."""
+    """Tells all nodes at once of this node and its phase."""
     heartbeat = NodeBeat(this_node_record(world))
     for node in world.fleet.nodes.values():
         world.emit(SendToNode(node.record.peer_address, heartbeat))
@@ -107,6 +107,7 @@
         world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, now_ns)
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
+        had_seen_own_record = world.fleet.own_record_seen
         listed = world.listed_ranges.pop(Range.NODES, None)
         if listed is not None:
             self._apply_list(world, listed, now_ns)
@@ -115,6 +116,9 @@
             world.range_changes[Range.NODES] = []
             for change in changes:
                 self._apply_item(world, change.key, change.item, now_ns)
+        if world.fleet.own_record_seen and not had_seen_own_record:
+            # Nodes that read the records before do not know of this one.
+            announce_phase(world)
         beats = world.inbox.take(NodeBeat)
         containment.run_each(world, beats, self._on_beat, now_ns)
         for _ in world.timers.pop_due(TimerKind.FLEET_HEARTBEAT, now_ns):
@@ -122,18 +126,20 @@
             world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, due_ns)
             self._run_heartbeat(world, now_ns)
         if world.fleet.active_is_stale:
-            fleet_shares.update_size(world, now_ns)
-            activity.refresh_active(world, now_ns)
+            self._update_shares(world, now_ns)
 
     def _run_heartbeat(self, world: ForwardWorld, now_ns: int) -> None:
         self._update_attempt_rate(world, now_ns)
         # Before the size of the fleet changes, which the budget depends on.
         retries.log_use(world, now_ns)
-        fleet_shares.update_size(world, now_ns)
-        activity.refresh_active(world, now_ns)
+        self._update_shares(world, now_ns)
         send_heartbeats(world, now_ns)
         self._remove_expired(world, now_ns)
 
+    def _update_shares(self, world: ForwardWorld, now_ns: int) -> None:
+        fleet_shares.update_size(world, now_ns)
+        activity.refresh_active(world, now_ns)
+
     def _update_attempt_rate(self, world: ForwardWorld, now_ns: int) -> None:
         fleet = world.fleet
         elapsed_ns = now_ns - fleet.last_heartbeat_ns
@@ -160,13 +166,21 @@
         if isinstance(item, NodeRecord):
             if item.node_id != world.this_node.node_id:
                 self._upsert(world, item, now_ns).registered = True
-            elif item.incarnation != world.this_node.incarnation:
-                world.presence.stale = True
+            else:
+                self._on_own_record(world, item)
             return
         node = world.fleet.nodes.get(key)
         if node is not None:
             node.registered = False
 
+    def _on_own_record(self, world: ForwardWorld, record: NodeRecord) -> None:
+        fleet = world.fleet
+        if record.incarnation != world.this_node.incarnation:
+            world.presence.stale = True
+        elif not fleet.own_record_seen:
+            fleet.own_record_seen = True
+            fleet.active_is_stale = True
+
     def _upsert(
         self, world: ForwardWorld, record: NodeRecord, now_ns: int
     ) -> PeerNode:
--- a/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
@@ -16,6 +16,9 @@
 
 # How long a node that has left the fleet still counts for its size.
 _SIZE_WINDOW_NS = 30_000 * NS_PER_MS
+# After this time without its own record, a node cannot write it to the store,
+# and the heartbeats have told what they can.
+_MAX_WRITE_NS = 2_000 * NS_PER_MS
 # The part of a limit that is reserved in equal shares for all nodes.
 _RESERVED_RATIO = 0.25
 
@@ -40,10 +43,10 @@
 def update_size(world: ForwardWorld, now_ns: int) -> None:
     """Updates the size of the fleet, which is not known at the start.
 
-    Until the records of the nodes have been read, it is what others report.
+    Until the records of the nodes are known, it is what others report.
     """
     fleet = world.fleet
-    if fleet.listed:
+    if _knows_records(world, now_ns):
         fleet.size = 1 + sum(
             node.registered or now_ns - node.last_heard_ns < _SIZE_WINDOW_NS
             for node in fleet.nodes.values()
@@ -55,6 +58,19 @@
         fleet.recent_max_seen_ns = now_ns
 
 
+def _knows_records(world: ForwardWorld, now_ns: int) -> bool:
+    """Returns whether the records from the store count for the fleet's size.
+
+    Nodes that start at the same time may each have read the records before the
+    others wrote theirs. Once a node's own record is among them, those that
+    write later will find it and tell it of themselves.
+    """
+    fleet = world.fleet
+    if not fleet.listed or fleet.own_record_seen:
+        return fleet.listed
+    return now_ns - world.this_node.started_ns > _MAX_WRITE_NS
+
+
 def update_active_share(world: ForwardWorld, now_ns: int) -> None:
     """Updates the part of the divisible limits that this node may use."""
     fleet = world.fleet
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -14,6 +14,7 @@
     NodePhase,
     NodeRecord,
 )
+from snipesaddle._internal.tables.forwarding.store_ranges import Range
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 from snipesaddle._internal.tables.timers import TimerKind
 
@@ -54,6 +55,8 @@
             presence.call_in_flight = False
             presence.lease_id = written.lease_id
             presence.stale = False
+            if not world.fleet.own_record_seen:
+                world.timers.set(TimerKind.STORE_SYNC, Range.NODES, now_ns)
             self._schedule(world, now_ns + self._interval_ns(world))
         for failed in world.inbox.take(PresenceFailed):
             self._on_failure(world, failed, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -136,6 +136,9 @@
         config_known = world.active_config.version or world.received_configs
         if cache.range is Range.CONFIG and not config_known:
             return 0
+        # The watch delivers this node's own record, if the list did not.
+        if cache.range is Range.NODES and world.presence.lease_id:
+            return 0
         if len(world.fleet.nodes) < world.settings.fleet.min_active:
             return 0
         return world.settings.store.idle_gap_ms * NS_PER_MS
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -124,6 +124,8 @@
       attempts_per_s: this node's load between the last two heartbeats.
       last_heartbeat_ns: when this node last sent its heartbeats.
       listed: the records of the nodes have been read from the store.
+      own_record_seen: the record of this run was among what the store has
+        delivered, so any node that is missing there will find it.
       size: how many nodes this one knows, itself included; 0 while it has not
         read their records.
       reported_size: the largest size of the fleet in a heartbeat of another
@@ -149,6 +151,7 @@
     attempts_per_s: int = 0
     last_heartbeat_ns: int = 0
     listed: bool = False
+    own_record_seen: bool = False
     size: int = 0
     reported_size: int = 0
     recent_max_size: int = 0
