Close idle connections above a share that has shrunk

Endpoints reset connections over their limit while nodes join a fleet.

Cause: a node closed the idle connections above its share only when it stopped being active, not when the fleet grew, so it kept those of the larger share.

It closes them now whenever the size grows; busy ones close when they are released, as before.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -9,6 +9,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     activity,
+    connections,
     containment,
     fleet_shares,
     peer_sync,
@@ -137,8 +138,11 @@
         self._remove_expired(world, now_ns)
 
     def _update_shares(self, world: ForwardWorld, now_ns: int) -> None:
+        old_size = world.fleet.recent_max_size
         fleet_shares.update_size(world, now_ns)
         activity.refresh_active(world, now_ns)
+        if old_size and world.fleet.recent_max_size > old_size:
+            connections.close_excess(world)
 
     def _update_attempt_rate(self, world: ForwardWorld, now_ns: int) -> None:
         fleet = world.fleet
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -72,6 +72,11 @@
         fleet.advance(2)
 
 
+def ask_at_once(fleet: SimulatedFleet, count: int) -> None:
+    for _ in range(count):
+        fleet.ask(b"/sweep/x")
+
+
 def load_with_restarts(fleet: SimulatedFleet, starts: int) -> None:
     for _ in range(starts):
         load(fleet, 3_500)
@@ -235,3 +240,17 @@
     fleet.advance(30)
     burst(fleet)
     assert max(fleet.peak_connections.values()) <= CONNECTIONS
+
+
+# Idle connections above a share that has shrunk stayed open.
+def test_a_node_that_joins_keeps_to_the_connection_limit() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed, ("e1",))
+        ask_at_once(fleet, 60)
+        fleet.advance(1_000)
+        for name in ("e2", "e3", "e4"):
+            fleet.start(name)
+        fleet.advance(100)
+        ask_at_once(fleet, 60)
+        fleet.advance(1_000)
+        assert max(fleet.peak_connections.values()) <= CONNECTIONS
