Pause before the same endpoint gets a part again

Callers saw no fault; endpoints that had just lost a part's answers got it again at once where the shard has more endpoints than the route permits.

Cause: the pause of 20 ms was decided by the endpoints that were not tried, also those that may not get the part any more.

Evidence: test_the_same_endpoint_is_asked_again_after_a_pause failed before. The pause is now decided by the endpoints that the part may be sent to.

--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -144,7 +144,8 @@
             return
         part.state = PartState.PENDING
         part_key = (request.request_id, attempt.part_index)
-        if placement.untried_endpoints(world, part, now_ns):
+        permitted = placement.permitted_endpoints(world, request, part, now_ns)
+        if any(other.endpoint_id not in part.tried for other in permitted):
             world.pending_parts.append(part_key)
             return
         due_ns = now_ns + _SAME_ENDPOINT_BACKOFF_NS
--- a/tests/unit/forwarding/test_loads.py
+++ b/tests/unit/forwarding/test_loads.py
@@ -147,6 +147,21 @@
         ticks.advance(700, 100)
 
 
+# A third endpoint, which the route does not permit, made the pause be skipped.
+def test_the_same_endpoint_is_asked_again_after_a_pause() -> None:
+    endpoints = [entry(f"f{n}", "s0") for n in range(3)]
+    ticks = ForwardTicks([merge_route(1, max_attempts=2)], endpoints)
+    ticks.ask(b"/sweep/x")
+    for _ in range(2):
+        (attempt,) = ticks.taken(commands.SendAttempt)
+        ticks.lose(attempt)
+        ticks.open_all()
+    assert not ticks.taken(commands.SendAttempt)
+    ticks.advance(25)
+    ticks.open_all()
+    assert len(ticks.taken(commands.SendAttempt)) == 1
+
+
 def test_an_answer_lost_by_a_unique_request_is_not_asked_for_again() -> None:
     ticks = ForwardTicks(
         [pass_route(idempotent=False)],
