Keep what every tick uses in one base of both tables, and one schedule

The tables extend TickWorld now, and the schedules TickSchedule, which leaves to them when a pass is needed again and how an error is reported. Behaviour is unchanged.

--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -26,16 +26,15 @@
     RelayRepliesSystem,
 )
 from snipesaddle._internal.systems.forwarding.store_sync import StoreSyncSystem
-from snipesaddle._internal.systems.tick import TickSystem
+from snipesaddle._internal.systems.tick import TickSchedule, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import Command
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
-# The most runs of all systems in one tick.
 _MAX_PASSES = 3
 
 
-class ForwardSchedule:
-    """Runs the systems over the tables in a fixed order.
+class ForwardSchedule(TickSchedule[ForwardWorld, Command]):
+    """The order of the systems of the forwarding tier.
 
     Updates from the store are processed before attempt results, and those
     before new requests. Completion runs after every system that can answer a
@@ -44,7 +43,7 @@
 
     def __init__(self) -> None:
         chooser = LatencyChooser()
-        self._systems: tuple[TickSystem[ForwardWorld], ...] = (
+        systems: tuple[TickSystem[ForwardWorld], ...] = (
             StoreSyncSystem(),
             FollowingSystem(),
             ConfigActivationSystem(),
@@ -62,31 +61,16 @@
             PresenceSystem(),
             DirectorySystem(),
         )
+        super().__init__(systems, _MAX_PASSES)
 
-    def start(self, world: ForwardWorld, now_ns: int) -> None:
-        """Calls `start` on every system, which sets its first timers."""
-        for system in self._systems:
-            system.start(world, now_ns)
-
-    def tick(self, world: ForwardWorld, now_ns: int) -> list[Command]:
-        """Runs one tick and returns the commands that the systems emitted.
+    def _needs_another_pass(self, world: ForwardWorld) -> bool:
+        return bool(
+            world.pending_parts
+            or world.freed_services
+            or world.overdue_relay_requests
+        )
 
-        An error that a system does not contain itself ends its run only. The
-        systems run again, up to `_MAX_PASSES` times in all, while a later
-        system has left work for an earlier one.
-        """
-        world.counters.ticks += 1
-        for _ in range(_MAX_PASSES):
-            for system in self._systems:
-                try:
-                    system.run(world, now_ns)
-                except Exception as error:
-                    containment.report(world, error, now_ns)
-            if (
-                not world.pending_parts
-                and not world.freed_services
-                and not world.overdue_relay_requests
-            ):
-                break
-        commands, world.outbox = world.outbox, []
-        return commands
+    def _report(
+        self, world: ForwardWorld, error: Exception, now_ns: int
+    ) -> None:
+        containment.report(world, error, now_ns)
--- a/src/snipesaddle/_internal/systems/schedule.py
+++ b/src/snipesaddle/_internal/systems/schedule.py
@@ -21,18 +21,19 @@
 from snipesaddle._internal.systems.relays import RelaysSystem
 from snipesaddle._internal.systems.results import ResultsSystem
 from snipesaddle._internal.systems.routing import RoutingSystem
+from snipesaddle._internal.systems.tick import TickSchedule
 from snipesaddle._internal.tables.commands import Command
 from snipesaddle._internal.tables.world import World
 
 _MAX_PASSES = 4
 
 
-class Schedule:
-    """Runs all systems over the tables in a fixed order."""
+class Schedule(TickSchedule[World, Command]):
+    """The order of the systems over searches and executions."""
 
     def __init__(self, world: World) -> None:
         policy = make_policy(world.settings.policy)
-        self._systems: tuple[System, ...] = (
+        systems: tuple[System, ...] = (
             MembershipSystem(),
             ConfigSystem(),
             CallsSystem(),
@@ -51,34 +52,7 @@
             LinksSystem(),
             DirectorySystem(),
         )
-
-    def start(self, world: World, now_ns: int) -> None:
-        """Starts each system, which sets its first timers."""
-        for system in self._systems:
-            system.start(world, now_ns)
-
-    def tick(self, world: World, now_ns: int) -> list[Command]:
-        """Runs the systems and returns the commands that they emitted.
-
-        Further passes follow, up to a maximum, while a system has created work
-        for an earlier one.
-        """
-        world.counters.ticks += 1
-        for _ in range(_MAX_PASSES):
-            for system in self._systems:
-                self._run(system, world, now_ns)
-            if not self._needs_another_pass(world):
-                break
-        commands, world.outbox = world.outbox, []
-        return commands
-
-    def _run(self, system: System, world: World, now_ns: int) -> None:
-        """Runs a system; an unexpected error ends its run only."""
-        try:
-            system.run(world, now_ns)
-        except Exception as error:
-            world.counters.unexpected_errors += 1
-            world.system_errors.append(error)
+        super().__init__(systems, _MAX_PASSES)
 
     def _needs_another_pass(self, world: World) -> bool:
         return bool(
@@ -86,3 +60,8 @@
             or world.ready_executions
             or world.freed_services
         )
+
+    def _report(self, world: World, error: Exception, now_ns: int) -> None:
+        del now_ns
+        world.counters.unexpected_errors += 1
+        world.system_errors.append(error)
--- a/src/snipesaddle/_internal/systems/tick.py
+++ b/src/snipesaddle/_internal/systems/tick.py
@@ -1,12 +1,16 @@
-"""The base class of all systems, whatever tables they run over."""
+"""Base classes of the systems and of their order, whatever tables they use."""
 
 import abc
-from typing import Generic, TypeVar
+from collections.abc import Sequence
+from typing import Any, Generic, TypeVar
+
+from snipesaddle._internal.tables.tick_world import TickWorld
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
 
-WorldT = TypeVar("WorldT")
+WorldT = TypeVar("WorldT", bound=TickWorld[Any])
+CommandT = TypeVar("CommandT")
 
 
 class TickSystem(abc.ABC, Generic[WorldT]):
@@ -23,3 +27,56 @@
     @abc.abstractmethod
     def run(self, world: WorldT, now_ns: int) -> None:
         """Handles the new events and the timers that are due at now_ns."""
+
+
+class TickSchedule(abc.ABC, Generic[WorldT, CommandT]):
+    """Runs systems over the tables in a fixed order."""
+
+    def __init__(
+        self, systems: Sequence[TickSystem[WorldT]], max_passes: int
+    ) -> None:
+        """Initializes the schedule.
+
+        Args:
+          systems: in the order in which they run.
+          max_passes: the most runs of all systems in one tick.
+        """
+        self._systems = tuple(systems)
+        self._max_passes = max_passes
+
+    def start(self, world: WorldT, now_ns: int) -> None:
+        """Starts each system, which sets its first timers."""
+        for system in self._systems:
+            system.start(world, now_ns)
+
+    def tick(self, world: WorldT, now_ns: int) -> list[CommandT]:
+        """Runs the systems and returns the commands that they emitted.
+
+        Further passes follow, up to a maximum, while a system has left work
+        for an earlier one.
+        """
+        world.counters.ticks += 1
+        for _ in range(self._max_passes):
+            for system in self._systems:
+                self._run(system, world, now_ns)
+            if not self._needs_another_pass(world):
+                break
+        commands, world.outbox = world.outbox, []
+        return commands
+
+    def _run(
+        self, system: TickSystem[WorldT], world: WorldT, now_ns: int
+    ) -> None:
+        """Runs a system; an error that it does not contain ends its run."""
+        try:
+            system.run(world, now_ns)
+        except Exception as error:
+            self._report(world, error, now_ns)
+
+    @abc.abstractmethod
+    def _needs_another_pass(self, world: WorldT) -> bool:
+        """Returns whether a system has left work for an earlier one."""
+
+    @abc.abstractmethod
+    def _report(self, world: WorldT, error: Exception, now_ns: int) -> None:
+        """Counts an unexpected error, and has it logged."""
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -1,6 +1,5 @@
 """The tables of the forwarding tier."""
 
-import itertools
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -43,8 +42,7 @@
     RangeCache,
     StoreHealth,
 )
-from snipesaddle._internal.tables.inbox import Inbox
-from snipesaddle._internal.tables.timers import Timers
+from snipesaddle._internal.tables.tick_world import TickCounters, TickWorld
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +68,7 @@
 
 
 @dataclass(slots=True)
-class ForwardCounters:
+class ForwardCounters(TickCounters):
     """Counts since the start of the process."""
 
     requests: int = 0
@@ -92,12 +90,10 @@
     connections_lost: int = 0
     store_calls: int = 0
     store_failures: int = 0
-    unexpected_errors: int = 0
-    ticks: int = 0
 
 
 @dataclass(slots=True)
-class ForwardWorld:
+class ForwardWorld(TickWorld[Command]):
     """The tables that the systems of the forwarding tier run over.
 
     Attributes:
@@ -129,9 +125,6 @@
     settings: ForwardSettings
     this_node: ThisNode
     rng: random.Random
-    inbox: Inbox = field(default_factory=Inbox)
-    outbox: list[Command] = field(default_factory=list)
-    timers: Timers = field(default_factory=Timers)
     active_config: ActiveConfig = field(default_factory=ActiveConfig)
     received_configs: list[RouteConfig] = field(default_factory=list)
     listed_ranges: dict[Range, dict[str, Item]] = field(default_factory=dict)
@@ -165,23 +158,14 @@
     time_limits: dict[str, LongestTimeLimit] = field(default_factory=dict)
     split_credits: dict[str, list[float]] = field(default_factory=dict)
     error_log_due_ns: dict[tuple[str, str], int] = field(default_factory=dict)
-    counters: ForwardCounters = field(default_factory=ForwardCounters)
-    ids: "itertools.count[int]" = field(
-        default_factory=lambda: itertools.count(1)
+    counters: ForwardCounters = field(
+        default_factory=ForwardCounters, kw_only=True
     )
 
-    def emit(self, command: Command) -> None:
-        """Adds a command for the adapters."""
-        self.outbox.append(command)
-
     def log(self, event: str, **fields: object) -> None:
         """Adds a line for the decision log."""
         self.outbox.append(LogDecision(event, fields))
 
-    def next_id(self) -> int:
-        """Returns an id that is unique in this process."""
-        return next(self.ids)
-
     def pool(self, service: str) -> ServicePool:
         """Returns the pool of a service; creates it if there is none."""
         pool = self.pools.get(service)
--- a/src/snipesaddle/_internal/tables/world.py
+++ b/src/snipesaddle/_internal/tables/world.py
@@ -1,6 +1,5 @@
 """All tables of one entry node."""
 
-import itertools
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -10,7 +9,6 @@
 from snipesaddle._internal.tables.commands import Command
 from snipesaddle._internal.tables.config import Config
 from snipesaddle._internal.tables.executions import Execution, Relay
-from snipesaddle._internal.tables.inbox import Inbox
 from snipesaddle._internal.tables.latencies import LatencyWindow
 from snipesaddle._internal.tables.leaves import Leaf, Link
 from snipesaddle._internal.tables.nodes import Peer, ThisNode
@@ -21,14 +19,14 @@
     ShardKey,
 )
 from snipesaddle._internal.tables.table import Table
-from snipesaddle._internal.tables.timers import Timers
+from snipesaddle._internal.tables.tick_world import TickCounters, TickWorld
 
 # Number of class priorities; priority 0 is the most urgent.
 PRIORITY_COUNT = 4
 
 
 @dataclass(slots=True)
-class Counters:
+class Counters(TickCounters):
     """Counters since the start of the process.
 
     Attributes:
@@ -37,7 +35,6 @@
       wrong_snapshots: replies for another snapshot than requested.
       refused: searches that admission refused.
       claims: claims of idempotency keys.
-      unexpected_errors: errors in systems, commands and calls.
     """
 
     primary_calls: int = 0
@@ -48,10 +45,8 @@
     wrong_snapshots: int = 0
     refused: int = 0
     claims: int = 0
-    ticks: int = 0
     peer_messages_sent: int = 0
     peer_bytes_sent: int = 0
-    unexpected_errors: int = 0
 
 
 @dataclass(slots=True)
@@ -77,7 +72,7 @@
 
 
 @dataclass(slots=True)
-class World:
+class World(TickWorld[Command]):
     """The tables that the systems run over.
 
     A key space is the set of execution keys that one incarnation owns; it is
@@ -123,9 +118,6 @@
     settings: Settings
     this_node: ThisNode
     rng: random.Random
-    inbox: Inbox = field(default_factory=Inbox)
-    outbox: list[Command] = field(default_factory=list)
-    timers: Timers = field(default_factory=Timers)
     config: Config = field(default_factory=Config)
     peers: Table[str, Peer] = field(default_factory=Table)
     leaves: Table[str, Leaf] = field(default_factory=Table)
@@ -167,18 +159,7 @@
     freed_services: set[str] = field(default_factory=set)
     load: Load = field(default_factory=Load)
     system_errors: list[Exception] = field(default_factory=list)
-    counters: Counters = field(default_factory=Counters)
-    ids: "itertools.count[int]" = field(
-        default_factory=lambda: itertools.count(1)
-    )
-
-    def emit(self, command: Command) -> None:
-        """Adds a command, to be carried out after the tick."""
-        self.outbox.append(command)
-
-    def next_id(self) -> int:
-        """Returns an id that is unique within this process."""
-        return next(self.ids)
+    counters: Counters = field(default_factory=Counters, kw_only=True)
 
     def latency_window(self, class_name: str) -> LatencyWindow:
         """Returns the latency window of a class, creating it if necessary."""
