--- a/src/snipesaddle/_internal/adapters/http_leaf.py
+++ b/src/snipesaddle/_internal/adapters/http_leaf.py
@@ -1,6 +1,7 @@
 """Calls to leaves over HTTP/1.1, with one connection for each link."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 import httpcore
 import msgspec
@@ -21,9 +22,6 @@
 from snipesaddle._internal.tables.events import CallFinished, ProbeFinished
 from snipesaddle._internal.tables.queries import CallResult
 
-_OK = 200
-_CONFLICT = 409
-_UNAVAILABLE = 503
 # Stands for the id of a call that this process did not make; ids start at 1.
 _FOREIGN_CALL_ID = 0
 
@@ -73,7 +71,7 @@
         link = self._link(leaf_id, link_id)
         try:
             reply = await link.get("/v1/health")
-            if reply.status != _OK:
+            if reply.status != HTTPStatus.OK:
                 return ProbeFinished(leaf_id, link_id, None, True)
             health = self._decode_health(reply.content).to_health()
             return ProbeFinished(leaf_id, link_id, health, True)
@@ -139,10 +137,10 @@
 
 
 def _result_of(status: int, body: ReplyBody) -> CallResult:
-    if status == _OK:
+    if status == HTTPStatus.OK:
         return CallResult.ANSWERED
-    if status == _UNAVAILABLE and body.error == "not_run":
+    if status == HTTPStatus.SERVICE_UNAVAILABLE and body.error == "not_run":
         return CallResult.REFUSED
-    if status == _CONFLICT and body.error == "snapshot_gone":
+    if status == HTTPStatus.CONFLICT and body.error == "snapshot_gone":
         return CallResult.SNAPSHOT_GONE
     return CallResult.FAILED
--- a/src/snipesaddle/_internal/adapters/http_store.py
+++ b/src/snipesaddle/_internal/adapters/http_store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 from urllib.parse import quote
 
 import anyio
@@ -16,9 +17,6 @@
 from snipesaddle._internal.models.settings import PlatformSettings
 from snipesaddle._internal.ports.store import PutResult, Store, StoreEntry
 
-_OK = 200
-_NOT_FOUND = 404
-_CONFLICT = 409
 _MAX_IDLE_CONNECTIONS = 4
 
 
@@ -71,10 +69,10 @@
         content = msgspec.json.encode(_PutBody(value, expected_version, ttl_s))
         async with self._connection(self._timeout_s) as connection:
             reply = await connection.send("PUT", _path(key), content)
-            if reply.status not in (_OK, _CONFLICT):
+            if reply.status not in (HTTPStatus.OK, HTTPStatus.CONFLICT):
                 raise StoreUnavailableError(f"status {reply.status}")
             body = msgspec.json.decode(reply.content, type=_PutReply)
-            return PutResult(reply.status == _OK, body.version)
+            return PutResult(reply.status == HTTPStatus.OK, body.version)
 
     async def aclose(self) -> None:
         while self._idle:
@@ -109,9 +107,9 @@
 
 
 def _decode_entry(reply: HttpReply) -> StoreEntry | None:
-    if reply.status == _NOT_FOUND:
+    if reply.status == HTTPStatus.NOT_FOUND:
         return None
-    if reply.status != _OK:
+    if reply.status != HTTPStatus.OK:
         raise StoreUnavailableError(f"status {reply.status}")
     body = msgspec.json.decode(reply.content, type=_EntryBody)
     return StoreEntry(body.value, body.version)
--- a/src/snipesaddle/_internal/adapters/http_vm_list.py
+++ b/src/snipesaddle/_internal/adapters/http_vm_list.py
@@ -1,5 +1,7 @@
 """Client of the platform's VM list over HTTP."""
 
+from http import HTTPStatus
+
 import anyio
 import msgspec
 
@@ -12,7 +14,6 @@
 from snipesaddle._internal.tables.events import VmEntry, VmListRead
 from snipesaddle._internal.tables.nodes import NodeState
 
-_OK = 200
 _ENTRY_ROLE = "entry"
 _LEAVING_STATE = "leaving"
 
@@ -42,7 +43,7 @@
         try:
             with anyio.fail_after(self._timeout_s):
                 reply = await self._connection.get("/v1/vms")
-            if reply.status != _OK:
+            if reply.status != HTTPStatus.OK:
                 return VmListRead(None)
             body = msgspec.json.decode(reply.content, type=_VmListBody)
         except (TimeoutError, *TRANSPORT_ERRORS, msgspec.MsgspecError):
--- a/src/snipesaddle/_internal/systems/drain.py
+++ b/src/snipesaddle/_internal/systems/drain.py
@@ -34,7 +34,8 @@
 
 _CHECK_INTERVAL_NS = 50 * NS_PER_MS
 _RESEND_INTERVAL_NS = 100 * NS_PER_MS
-_NODE_LEFT = "the node that ran it left before the leaf answered"
+_LEFT_WHILE_RUNNING = "the node that ran it left before the leaf answered"
+_LEFT_BEFORE_START = "the node that was to run it left before it was started"
 
 
 class DrainSystem(System):
@@ -187,9 +188,9 @@
     for row in world.executions:
         reply = row.answer
         if row.state is ExecutionState.RUNNING:
-            reply = ExecutionAnswer(Outcome.UNKNOWN, detail=_NODE_LEFT)
+            reply = ExecutionAnswer(Outcome.UNKNOWN, detail=_LEFT_WHILE_RUNNING)
         if row.state is ExecutionState.READY:
-            reply = ExecutionAnswer(Outcome.NOT_RUN, detail=_NODE_LEFT)
+            reply = ExecutionAnswer(Outcome.NOT_RUN, detail=_LEFT_BEFORE_START)
         if reply is not None:
             row.state = ExecutionState.ENDED
             row.answer = reply
--- a/src/snipesaddle/_internal/systems/execution_dispatch.py
+++ b/src/snipesaddle/_internal/systems/execution_dispatch.py
@@ -24,7 +24,7 @@
 from snipesaddle._internal.tables.world import World
 
 _REPLY_LOST = "the leaf was asked and its answer was lost"
-_ALL_REFUSED = "every leaf refused the work"
+_NO_LEAF_TOOK_IT = "each leaf refused the work or could not be reached"
 
 
 class ExecutionDispatchSystem(System):
@@ -57,7 +57,7 @@
         eligible = [leaf for leaf in leaves if leaf.accepts_work()]
         untried = [leaf for leaf in eligible if leaf.leaf_id not in row.tried]
         if row.tried and not untried:
-            reply = execution_rows.not_run(_ALL_REFUSED)
+            reply = execution_rows.not_run(_NO_LEAF_TOOK_IT)
             execution_rows.finish(world, row, reply, now_ns)
             return
         free = [leaf for leaf in untried if links.has_capacity(leaf)]
--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -1,5 +1,7 @@
 """Attempts: applies connection events and answers to attempts and endpoints."""
 
+from http import HTTPStatus
+
 from snipesaddle._internal.systems.forwarding import (
     connections,
     containment,
@@ -30,7 +32,6 @@
 _ABANDONED_TIMEOUT_NS = 200 * NS_PER_MS
 # A connection that takes longer to open counts as an endpoint failure.
 _SLOW_CONNECT_NS = 300 * NS_PER_MS
-_MISDIRECTED_STATUS = 421
 
 
 def abandon(world: ForwardWorld, attempt_id: int, now_ns: int) -> None:
@@ -174,7 +175,7 @@
             return
         load_balancing.record_answer(endpoint, now_ns)
         answer = event.answer
-        if answer.status == _MISDIRECTED_STATUS:
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             load_balancing.record_failure(
                 world, endpoint, now_ns, "misdirected"
             )
@@ -183,7 +184,7 @@
             load_balancing.record_overload(endpoint, now_ns)
             load_balancing.record_result(endpoint, True, now_ns)
         else:
-            failed = answer.status >= 500
+            failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             load_balancing.record_result(endpoint, failed, now_ns)
             if not failed:
                 load_balancing.record_latency(
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -3,6 +3,7 @@
 import abc
 import heapq
 import math
+from http import HTTPStatus
 
 from snipesaddle._internal.systems.forwarding import (
     attempts,
@@ -38,7 +39,14 @@
 # For a request of which no part can have run.
 _RETRY_AFTER_MS = 100
 # Statuses that tell a client that its request has not run.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 # Of whole answers, one in so many is logged; of other outcomes, every one.
 _WHOLE_ANSWERS_PER_LOG_LINE = 32
 
--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -1,5 +1,7 @@
 """Outcomes: applies the result of each attempt to its part."""
 
+from http import HTTPStatus
+
 from snipesaddle._internal.systems.forwarding import (
     attempts,
     containment,
@@ -22,7 +24,6 @@
 from snipesaddle._internal.tables.timers import TimerKind
 
 _SAME_ENDPOINT_BACKOFF_NS = 20 * NS_PER_MS
-_MIN_SERVER_ERROR_STATUS = 500
 
 
 class OutcomesSystem(TickSystem[ForwardWorld]):
@@ -71,7 +72,7 @@
         world.counters.endpoint_failures += 1
         final = (
             not request.route.shards
-            and answer.status < _MIN_SERVER_ERROR_STATUS
+            and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
         )
         if final:
             self._accept_answer(world, request, part, answer, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
@@ -4,6 +4,8 @@
 endpoints may run them than the route permits.
 """
 
+from http import HTTPStatus
+
 from snipesaddle._internal.systems.forwarding import (
     attempts,
     containment,
@@ -33,7 +35,6 @@
 _NO_REPLY_BACKOFF_NS = 2_000 * NS_PER_MS
 # How long a node that is not connected gets no relays.
 _UNCONNECTED_BACKOFF_NS = 200 * NS_PER_MS
-_STATUS_OK = 200
 
 
 class RelayRepliesSystem(TickSystem[ForwardWorld]):
@@ -106,7 +107,9 @@
         ):
             part = request.parts[index]
             if signature:
-                answer = EndpointAnswer(_STATUS_OK, b"OK", (), body, signature)
+                answer = EndpointAnswer(
+                    HTTPStatus.OK, b"OK", (), body, signature
+                )
                 _accept_answer(world, request, part, answer, now_ns)
                 # The body holds the merged records of all parts; only the
                 # first answered part gets it.
--- a/src/snipesaddle/_internal/systems/tick.py
+++ b/src/snipesaddle/_internal/systems/tick.py
@@ -52,27 +52,22 @@
     def tick(self, world: WorldT, now_ns: int) -> list[CommandT]:
         """Runs the systems and returns the commands that they emitted.
 
+        An error that a system does not contain itself ends its run only.
         Further passes follow, up to a maximum, while a system has left work
         for an earlier one.
         """
         world.counters.ticks += 1
         for _ in range(self._max_passes):
             for system in self._systems:
-                self._run(system, world, now_ns)
+                try:
+                    system.run(world, now_ns)
+                except Exception as error:
+                    self._report(world, error, now_ns)
             if not self._needs_another_pass(world):
                 break
         commands, world.outbox = world.outbox, []
         return commands
 
-    def _run(
-        self, system: TickSystem[WorldT], world: WorldT, now_ns: int
-    ) -> None:
-        """Runs a system; an error that it does not contain ends its run."""
-        try:
-            system.run(world, now_ns)
-        except Exception as error:
-            self._report(world, error, now_ns)
-
     @abc.abstractmethod
     def _needs_another_pass(self, world: WorldT) -> bool:
         """Returns whether a system has left work for an earlier one."""
--- a/src/snipesaddle/platform/endpoints.py
+++ b/src/snipesaddle/platform/endpoints.py
@@ -1,5 +1,7 @@
 """Attempts sent to endpoints over the platform's HTTP protocol."""
 
+from http import HTTPStatus
+
 from snipesaddle._internal.adapters.http1.client import (
     ClientConnection,
     ResponseIntake,
@@ -18,7 +20,6 @@
 from snipesaddle.platform import headers, names
 
 _CONNECT_TIMEOUT_S = 1.0
-_MISDIRECTED = 421
 _MS_PER_S = 1_000
 _REPLACED_HEADERS = frozenset({names.TIME_LIMIT, names.EXPECTED_ENDPOINT})
 _TIMEOUT_PARAMETER = b"timeout="
@@ -155,7 +156,7 @@
     signature = response.header(names.SIGNATURE) or b""
     not_run = (
         response.header(names.NOT_RUN) is not None
-        or response.status == _MISDIRECTED
+        or response.status == HTTPStatus.MISDIRECTED_REQUEST
     )
     return EndpointAnswer(
         status=response.status,
--- a/src/snipesaddle/platform/store.py
+++ b/src/snipesaddle/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import Mapping
+from http import HTTPStatus
 from urllib.parse import urlencode
 
 import msgspec
@@ -136,7 +137,8 @@
             changes = tuple(_change(event) for event in value.events)
         except _CALL_ERRORS as error:
             history_lost = (
-                isinstance(error, _StatusError) and error.status == 410
+                isinstance(error, _StatusError)
+                and error.status == HTTPStatus.GONE
             )
             return events.RangeFailed(command.range, history_lost, str(error))
         return events.RangeChanged(command.range, changes, value.store_revision)
@@ -222,7 +224,7 @@
         response = await self._client.call(
             method, target, content, timeout_ms / _MS_PER_S
         )
-        if response.status != 200:
+        if response.status != HTTPStatus.OK:
             raise _StatusError(response)
         return response
 
@@ -238,5 +240,7 @@
 
 
 def _presence_failed(error: Exception) -> events.PresenceFailed:
-    lease_lost = isinstance(error, _StatusError) and error.status == 404
+    lease_lost = (
+        isinstance(error, _StatusError) and error.status == HTTPStatus.NOT_FOUND
+    )
     return events.PresenceFailed(lease_lost, str(error))
