Check the retry budget in the soak, with endpoints that are full for a time

The budget of all nodes together was checked in a simulated fleet only. The soak now sums what its leafs receive beyond the first of each request, over kills and restarts of real processes, and has leafs refuse most requests for a time.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,14 +24,17 @@
 
 import anyio
 import httpx
+import msgspec
 
 from snipesaddle._internal.adapters.http1.server import HttpRequest
+from snipesaddle._internal.models.forwarding import RetrySettings
 from tests.standins.forward_site import (
     INTERPRETER_START_S,
     Site,
     config,
 )
 from tests.standins.proxy import Route, RouteSpec
+from tests.standins.retry_budget import Arrival, overrun
 from tests.standins.users_platform import LeafStandIn
 
 _SETS = (("s0", "s1"), ("t0", "t1", "t2"))
@@ -42,7 +45,11 @@
 _IN_FORCE_S = 6.0
 _CLIENTS = 6
 _LANES = 3
-_SETTINGS = {"directory": {"keep_ms": 300}}
+_RETRIES = RetrySettings(ratio=0.1, slack=6.0, window_s=2)
+_SETTINGS = {
+    "directory": {"keep_ms": 300},
+    "retries": msgspec.to_builtins(_RETRIES),
+}
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -55,6 +62,23 @@
 class SoakLeaf(LeafStandIn):
     """Answers with records that belong to one request, and signs them."""
 
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.arrivals: list[Arrival] = []
+        self.refused_ratio = 0.0
+
+    def on_request(self, client_id: int, request: HttpRequest) -> None:
+        key = request.header(b"request-id") or b""
+        self.arrivals.append(Arrival(time.monotonic_ns(), key))
+        if (
+            random.Random(f"{key!r}{self.leaf_id}").random()
+            < self.refused_ratio
+        ):
+            headers = ((b"Not-Executed", b"full"), (b"Content-Length", b"0"))
+            self.server.respond(client_id, 503, b"Full", headers, b"")
+            return
+        super().on_request(client_id, request)
+
     def answer_of(self, request: HttpRequest) -> tuple[bytes, bytes]:
         key = (request.header(b"request-id") or b"").decode()
         stamp = f"{self.service}:{self.leaf_id}:{key}".encode()
@@ -66,6 +90,7 @@
     """What clients saw.
 
     Attributes:
+      asked_ns: when each request was sent, by its id.
       probes: for each process, when a route of a version was asked for and
         answered, and the version.
     """
@@ -75,6 +100,7 @@
     )
     broken: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
+    asked_ns: dict[bytes, int] = field(default_factory=dict)
     probes: dict[int, list[tuple[float, float, int]]] = field(
         default_factory=lambda: collections.defaultdict(list)
     )
@@ -91,6 +117,7 @@
         self.faults: list[str] = []
         self.numbers = 0
         self.busy: set[str] = set()
+        self.least_reserve = float("inf")
         leafs: list[LeafStandIn] = [
             SoakLeaf(f"i-{service}-{number}", service, [])
             for service in _SERVICES
@@ -157,6 +184,7 @@
             await anyio.sleep(rng.uniform(0, 0.03))
 
     async def _ask(self, name: str, path: str, key: str) -> Any:
+        self.seen.asked_ns[key.encode()] = time.monotonic_ns()
         try:
             reply = await self.site.ask(name, path, headers={"Request-Id": key})
         except httpx.HTTPError as error:
@@ -218,6 +246,7 @@
             self._pause,
             self._harm_store,
             self._harm_leaf,
+            self._fill_leafs,
             self._store_away,
             self._change,
             self._reload,
@@ -290,6 +319,21 @@
         for key, value in harm.items():
             setattr(spec, key, type(value)())
 
+    async def _fill_leafs(self, rng: random.Random) -> None:
+        """Makes all leafs of some services refuse most requests for a time."""
+        services = rng.choice((*_SETS, ("file",)))
+        self.faults.append(f"leafs of {services} are full")
+        leafs = [
+            leaf
+            for leaf in self.site.leafs
+            if isinstance(leaf, SoakLeaf) and leaf.service in services
+        ]
+        for leaf in leafs:
+            leaf.refused_ratio = rng.uniform(0.4, 0.9)
+        await anyio.sleep(rng.uniform(0.3, 2.0))
+        for leaf in leafs:
+            leaf.refused_ratio = 0.0
+
     async def _store_away(self, rng: random.Random) -> None:
         self.faults.append("store away")
         self.site.store.down = True
@@ -354,6 +398,28 @@
             self._broken(key, "was said not to have run")
         for probes in self.seen.probes.values():
             self._check_versions(probes)
+        for services in (*_SETS, ("file",)):
+            self._check_budget(services)
+
+    def _check_budget(self, services: tuple[str, ...]) -> None:
+        """Checks the repeats that services with the same requests received."""
+        arrivals = {
+            service: [
+                arrival
+                for leaf in self.site.leafs
+                if isinstance(leaf, SoakLeaf) and leaf.service == service
+                for arrival in leaf.arrivals
+            ]
+            for service in services
+        }
+        # A request may arrive at some services only, and counts for all.
+        request_ids = {a.request_id for some in arrivals.values() for a in some}
+        asked_ns = [self.seen.asked_ns[key] for key in request_ids]
+        for service, received in arrivals.items():
+            excess = overrun(received, asked_ns, _RETRIES)
+            self.least_reserve = min(self.least_reserve, -excess)
+            if excess > 0:
+                self._broken(service, f"{excess:.1f} repeats over the budget")
 
     def _check_versions(self, probes: list[tuple[float, float, int]]) -> None:
         for _, answered, newer in probes:
@@ -378,6 +444,7 @@
         "faults": len(soak.faults),
         "versions": soak.version,
         "outcomes": dict(sorted(seen.outcomes.items())),
+        "least_reserve": round(soak.least_reserve, 1),
         "broken": len(seen.broken),
     }
     return row, [*seen.broken, *(["faults:", *soak.faults] * bool(seen.broken))]
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -7,11 +7,12 @@
 import heapq
 import itertools
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from standins.forwarding import HOST
+from standins.retry_budget import Arrival, overrun
 
 from snipesaddle._internal.daemon.forward_node import build_world
 from snipesaddle._internal.models.forwarding import (
@@ -80,20 +81,11 @@
     open_connections: dict[int, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True)
-class Arrival:
-    """A request that an endpoint received."""
-
-    at_ns: int
-    request_id: bytes
-    service: str
-
-
 class SimulatedFleet:
     """A fleet whose clock the test advances.
 
     Attributes:
-      arrivals: all attempts that reached endpoints.
+      arrivals: all attempts that reached endpoints, by service.
       asked: the times at which clients sent their requests.
       peak_connections: the most connections at one time, by endpoint.
     """
@@ -108,7 +100,7 @@
     ) -> None:
         self.now_ns = _STARTED_NS
         self.faults = Faults()
-        self.arrivals: list[Arrival] = []
+        self.arrivals: defaultdict[str, list[Arrival]] = defaultdict(list)
         self.asked: list[int] = []
         self.answers: Counter[str] = Counter()
         self.connections: Counter[str] = Counter()
@@ -329,7 +321,7 @@
             if item.endpoint_id == attempt.endpoint_id
         )
         request_id = attempt.request.arrived.client_request_id
-        self.arrivals.append(Arrival(self.now_ns, request_id, service))
+        self.arrivals[service].append(Arrival(self.now_ns, request_id))
         faults = self.faults
         chance = self._rng.random()
         if chance < faults.refused_ratio:
@@ -341,7 +333,7 @@
         if chance < faults.refused_ratio + faults.lost_ratio:
             self.at(work_ms, lambda: self._lose(run, attempt))
             return
-        signature = b"%d" % len(self.arrivals)
+        signature = b"%d" % next(self._order)
         answer = EndpointAnswer(200, b"", (), bytes(16), signature)
         self._answer(run, attempt, work_ms + _LINK_MS, answer)
 
@@ -370,32 +362,5 @@
             self._deliver(run, ended)
 
     def budget_overrun(self, service: str) -> float:
-        """Returns by how much the worst window exceeds the retry budget.
-
-        Extra sends are the arrivals beyond the first of a request. They are
-        allowed for the requests in their window, the one before or the one
-        half a window before, whichever has most.
-        """
-        seen: set[bytes] = set()
-        extras_ns = []
-        for arrival in self.arrivals:
-            if arrival.service != service:
-                continue
-            if arrival.request_id in seen:
-                extras_ns.append(arrival.at_ns)
-            seen.add(arrival.request_id)
-        window_ns = self._retries.window_s * NS_PER_S
-        worst = -self._retries.slack
-        for start_ns in extras_ns:
-            extras = _count_between(extras_ns, start_ns, window_ns)
-            requests = max(
-                _count_between(self.asked, start_ns - shift_ns, window_ns)
-                for shift_ns in (0, window_ns // 2, window_ns)
-            )
-            allowed = self._retries.ratio * requests + self._retries.slack
-            worst = max(worst, extras - allowed)
-        return worst
-
-
-def _count_between(times_ns: list[int], start_ns: int, length_ns: int) -> int:
-    return sum(start_ns <= at_ns < start_ns + length_ns for at_ns in times_ns)
+        """Returns by how much the worst window exceeds the retry budget."""
+        return overrun(self.arrivals[service], self.asked, self._retries)
