Record that a fleet that grows under load exceeds a connection limit

Three nodes that join a fully loaded one bring an endpoint to 23 connections of 20 in the simulated fleet, until busy ones are released; 20 of 20 where one node joins three.

--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -254,3 +254,14 @@
         ask_at_once(fleet, 60)
         fleet.advance(1_000)
         assert max(fleet.peak_connections.values()) <= CONNECTIONS
+
+
+# Busy connections above a share that has shrunk stay open until their answer.
+def test_a_fleet_that_grows_under_load_keeps_to_the_connection_limit() -> None:
+    fleet = started_fleet(1, ("e1",))
+    fleet.faults = Faults(slow_ratio=1.0)
+    burst(fleet)
+    for name in ("e2", "e3", "e4"):
+        fleet.start(name)
+    burst(fleet)
+    assert max(fleet.peak_connections.values()) <= CONNECTIONS
