--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on sockets: calls, truncated responses and slow clients."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from typing import Any
@@ -102,18 +103,19 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        for piece in pieces:
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(0.02)
-        if reset:
-            # With a linger time of 0, closing the socket resets the connection.
-            own = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
-        writer.close()
+        with contextlib.closing(writer):
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            if reset:
+                # With a linger time of 0, closing the socket resets the
+                # connection.
+                own = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
 
     port = free_ports(1)
     await asyncio.start_server(serve, "127.0.0.1", port)
@@ -350,6 +352,7 @@
             assert echo.server.connection_count == 1
             await echo.server.drain(2.0)
             assert echo.server.connection_count == 0
+    writer.close()
     assert received.endswith(body)
 
 
@@ -377,6 +380,7 @@
             group.start_soon(answer_later)
             await echo.server.drain(2.0)
         received = await reader.read()
+    writer.close()
     assert received.startswith(b"HTTP/1.1 503")
     assert b"Connection: close" in received
     assert received.endswith(b"no")
