--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -55,6 +55,7 @@
             presence.call_in_flight = False
             presence.lease_id = written.lease_id
             presence.stale = False
+            # A watch of the nodes delivers the record that was just written.
             if not world.fleet.own_record_seen:
                 world.timers.set(TimerKind.STORE_SYNC, Range.NODES, now_ns)
             self._schedule(world, now_ns + self._interval_ns(world))
