--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -81,7 +81,7 @@
         world.emit(SendToNode(node.record.peer_address, heartbeat))
 
 
-def announce_phase(world: ForwardWorld) -> None:
+def announce(world: ForwardWorld) -> None:
     """Tells all nodes at once of this node and its phase."""
     heartbeat = NodeBeat(this_node_record(world))
     for node in world.fleet.nodes.values():
@@ -119,7 +119,7 @@
                 self._apply_item(world, change.key, change.item, now_ns)
         if world.fleet.own_record_seen and not had_seen_own_record:
             # Nodes that read the records before do not know of this one.
-            announce_phase(world)
+            announce(world)
         beats = world.inbox.take(NodeBeat)
         containment.run_each(world, beats, self._on_beat, now_ns)
         for _ in world.timers.pop_due(TimerKind.FLEET_HEARTBEAT, now_ns):
--- a/src/snipesaddle/_internal/systems/forwarding/retries.py
+++ b/src/snipesaddle/_internal/systems/forwarding/retries.py
@@ -13,7 +13,6 @@
 from snipesaddle._internal.systems.forwarding import fleet_shares
 from snipesaddle._internal.systems.tick import NS_PER_S
 from snipesaddle._internal.tables.forwarding.budgets import (
-    BudgetLimits,
     ExtraCharge,
     RetryBudget,
 )
@@ -30,7 +29,8 @@
 def count_request(world: ForwardWorld, service: str, now_ns: int) -> None:
     """Counts the first send of a part, which allows part of a retry."""
     budget = _current_budget(world, service, now_ns)
-    budget.count_request(_limits(world, budget, now_ns))
+    ratio = world.settings.retries.ratio * _USED_BUDGET_RATIO
+    budget.count_request(ratio, _max_tokens(world, budget))
 
 
 def reserve_retry(
@@ -38,7 +38,7 @@
 ) -> ExtraCharge | None:
     """Reserves a retry of a failed part; None if the budget is exhausted."""
     budget = _current_budget(world, service, now_ns)
-    return budget.reserve(_limits(world, budget, now_ns).slack)
+    return budget.reserve(_slack(world, now_ns))
 
 
 def reserve_hedge(
@@ -46,10 +46,11 @@
 ) -> ExtraCharge | None:
     """Reserves a hedge of a late part; None if the budget is exhausted."""
     budget = _current_budget(world, service, now_ns)
-    limits = _limits(world, budget, now_ns)
-    left_to_retries = limits.max_tokens * (1 - _HEDGE_BUDGET_RATIO)
-    min_tokens = min(limits.max_tokens, 1 + left_to_retries)
-    return budget.reserve(limits.slack * _HEDGE_BUDGET_RATIO, min_tokens)
+    max_tokens = _max_tokens(world, budget)
+    left_to_retries = max_tokens * (1 - _HEDGE_BUDGET_RATIO)
+    min_tokens = min(max_tokens, 1 + left_to_retries)
+    slack = _slack(world, now_ns) * _HEDGE_BUDGET_RATIO
+    return budget.reserve(slack, min_tokens)
 
 
 def count_sent(
@@ -75,15 +76,14 @@
     budget = _current_budget(world, service, now_ns)
     if not budget.slack_sum:
         return
-    limits = _limits(world, budget, now_ns)
     world.log(
         "retry_budget",
         service=service,
         requests=budget.request_sum,
         tokens=round(budget.tokens, 1),
-        max_tokens=round(limits.max_tokens, 1),
+        max_tokens=round(_max_tokens(world, budget), 1),
         slack_sends=budget.slack_sum,
-        slack=round(limits.slack, 1),
+        slack=round(_slack(world, now_ns), 1),
         fleet_size=world.fleet.recent_max_size,
         active_share=round(world.fleet.active_share, 3),
         denials=world.counters.budget_denials,
@@ -98,18 +98,16 @@
     return budget
 
 
-def _limits(
-    world: ForwardWorld, budget: RetryBudget, now_ns: int
-) -> BudgetLimits:
+def _max_tokens(world: ForwardWorld, budget: RetryBudget) -> float:
     settings = world.settings.retries
     slack = fleet_shares.share_of(world, settings.slack)
     allowed = settings.ratio * budget.request_sum + slack
-    usable_slack = slack * _USED_BUDGET_RATIO
-    window_ns = settings.window_s * NS_PER_S
-    if now_ns - world.this_node.started_ns < window_ns:
-        usable_slack = 0.0
-    return BudgetLimits(
-        ratio=settings.ratio * _USED_BUDGET_RATIO,
-        max_tokens=max(1.0, _SAVED_BUDGET_RATIO * allowed),
-        slack=usable_slack,
-    )
+    return max(1.0, _SAVED_BUDGET_RATIO * allowed)
+
+
+def _slack(world: ForwardWorld, now_ns: int) -> float:
+    """Returns this node's part of the slack; none in its first window."""
+    settings = world.settings.retries
+    if now_ns - world.this_node.started_ns < settings.window_s * NS_PER_S:
+        return 0.0
+    return fleet_shares.share_of(world, settings.slack) * _USED_BUDGET_RATIO
--- a/src/snipesaddle/_internal/tables/forwarding/budgets.py
+++ b/src/snipesaddle/_internal/tables/forwarding/budgets.py
@@ -21,21 +21,6 @@
     SLACK = "slack"
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetLimits:
-    """What a retry budget allows at present.
-
-    Attributes:
-      ratio: tokens added for each first send of a part.
-      max_tokens: the most tokens, those of sends that wait included.
-      slack: the most sends within the window that no token pays for.
-    """
-
-    ratio: float
-    max_tokens: float
-    slack: float
-
-
 @dataclass(slots=True)
 class RetryBudget:
     """The retry budget of one service.
@@ -50,8 +35,10 @@
       request_sum: first sends in the window.
       slack_sum: sends in the window that the slack has paid for.
       tokens: how many sends the first sends have paid for.
-      waiting: extra sends that wait for their connection, by what pays for
-        them; they enter the window when they are sent.
+      waiting_tokens: extra sends that wait for their connection and have taken
+        a token.
+      waiting_slack: those that the slack pays for; they enter the window when
+        they are sent.
     """
 
     window_ns: int
@@ -61,20 +48,24 @@
     request_sum: int = 0
     slack_sum: int = 0
     tokens: float = 0.0
-    waiting: dict[ExtraCharge, int] = field(
-        default_factory=lambda: dict.fromkeys(ExtraCharge, 0)
-    )
+    waiting_tokens: int = 0
+    waiting_slack: int = 0
 
-    def count_request(self, limits: BudgetLimits) -> None:
-        """Counts the first send of a part; `advance` comes before it."""
+    def count_request(self, ratio: float, max_tokens: float) -> None:
+        """Counts the first send of a part; `advance` comes before it.
+
+        Args:
+          ratio: tokens added for it.
+          max_tokens: the most tokens, those of sends that wait included.
+        """
         self.requests[self.bucket_number % _BUCKET_COUNT] += 1
         self.request_sum += 1
-        max_tokens = limits.max_tokens - self.waiting[ExtraCharge.TOKEN]
-        self.tokens = max(0.0, min(self.tokens + limits.ratio, max_tokens))
+        free_tokens = max_tokens - self.waiting_tokens
+        self.tokens = max(0.0, min(self.tokens + ratio, free_tokens))
 
     def slack_left(self, slack: float) -> float:
         """Returns how many more sends the slack allows now."""
-        return slack - self.slack_sum - self.waiting[ExtraCharge.SLACK]
+        return slack - self.slack_sum - self.waiting_slack
 
     def reserve(
         self, slack: float, min_tokens: float = 1.0
@@ -87,30 +78,35 @@
         """
         if self.tokens >= min_tokens:
             self.tokens -= 1
-            charge = ExtraCharge.TOKEN
-        elif self.slack_left(slack) >= 1:
-            charge = ExtraCharge.SLACK
-        else:
-            return None
-        self.waiting[charge] += 1
-        return charge
+            self.waiting_tokens += 1
+            return ExtraCharge.TOKEN
+        if self.slack_left(slack) >= 1:
+            self.waiting_slack += 1
+            return ExtraCharge.SLACK
+        return None
 
     def count_sent(self, charge: ExtraCharge) -> None:
         """Counts a reserved extra send as sent; `advance` comes before it."""
-        self.waiting[charge] -= 1
-        if charge is ExtraCharge.SLACK:
-            self.slack_sends[self.bucket_number % _BUCKET_COUNT] += 1
-            self.slack_sum += 1
+        if charge is ExtraCharge.TOKEN:
+            self.waiting_tokens -= 1
+            return
+        self.waiting_slack -= 1
+        self.slack_sends[self.bucket_number % _BUCKET_COUNT] += 1
+        self.slack_sum += 1
 
     def release(self, charge: ExtraCharge) -> None:
         """Gives back a reserved extra send, which is never sent."""
-        self.waiting[charge] -= 1
         if charge is ExtraCharge.TOKEN:
+            self.waiting_tokens -= 1
             self.tokens += 1
+        else:
+            self.waiting_slack -= 1
 
     def advance(self, now_ns: int) -> None:
         """Moves the window to the current time."""
         bucket_number = now_ns * (_BUCKET_COUNT - 1) // self.window_ns
+        if bucket_number == self.bucket_number:
+            return
         steps = min(bucket_number - self.bucket_number, _BUCKET_COUNT)
         for step in range(1, steps + 1):
             index = (bucket_number - steps + step) % _BUCKET_COUNT
--- a/tests/unit/forwarding/test_policies.py
+++ b/tests/unit/forwarding/test_policies.py
@@ -8,7 +8,6 @@
 from snipesaddle._internal.models.forwarding import RetrySettings
 from snipesaddle._internal.systems.forwarding import deadlines, retries
 from snipesaddle._internal.tables.forwarding.budgets import (
-    BudgetLimits,
     ExtraCharge,
     RetryBudget,
 )
@@ -112,12 +111,11 @@
 
 def test_a_retry_budget_limits_extras_to_ratio_and_slack() -> None:
     retry_budget = RetryBudget(10 * S)
-    limits = BudgetLimits(ratio=0.2, max_tokens=2.0, slack=5.0)
     spent = 0
     for turn in range(1_000):
         retry_budget.advance(turn * 10 * MS)
-        retry_budget.count_request(limits)
-        charge = retry_budget.reserve(limits.slack)
+        retry_budget.count_request(ratio=0.2, max_tokens=2.0)
+        charge = retry_budget.reserve(5.0)
         if charge is not None:
             retry_budget.count_sent(charge)
             spent += 1
@@ -140,16 +138,15 @@
 
 def test_tokens_are_limited_however_long_it_is_calm() -> None:
     retry_budget = RetryBudget(10 * S)
-    limits = BudgetLimits(ratio=0.2, max_tokens=3.0, slack=0.0)
     for turn in range(1_000):
         retry_budget.advance(turn * 10 * MS)
-        retry_budget.count_request(limits)
-    reserved = [retry_budget.reserve(limits.slack) for _ in range(10)]
+        retry_budget.count_request(ratio=0.2, max_tokens=3.0)
+    reserved = [retry_budget.reserve(0.0) for _ in range(10)]
     assert reserved.count(ExtraCharge.TOKEN) == 3
     # Those that wait to be sent still count for the limit.
     for _ in range(100):
-        retry_budget.count_request(limits)
-    assert retry_budget.reserve(limits.slack) is None
+        retry_budget.count_request(ratio=0.2, max_tokens=3.0)
+    assert retry_budget.reserve(0.0) is None
 
 
 def send_retry(world: ForwardWorld, now_ns: int) -> bool:
