Log when an endpoint says in its answers that it leaves

What callers saw cannot be explained by today's lines: none says that an answer carried the statement, what the registration said at that time, and whether the answer was for a relay. The first such answer of an endpoint writes endpoint_leaving; each one counts in snipesaddle_leaving_answers_total. No decision reads it yet.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -12,6 +12,7 @@
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import CloseConnection
 from snipesaddle._internal.tables.forwarding.endpoints import (
+    Endpoint,
     EndpointConnection,
 )
 from snipesaddle._internal.tables.forwarding.events import (
@@ -175,6 +176,8 @@
             return
         load_balancing.record_answer(endpoint, now_ns)
         answer = event.answer
+        if answer.leaving:
+            _record_leaving(world, endpoint, attempt, now_ns)
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             load_balancing.record_failure(
                 world, endpoint, now_ns, "misdirected"
@@ -219,6 +222,26 @@
             world.lost_attempts.append(LostAttempt(attempt, sent, event.detail))
 
 
+def _record_leaving(
+    world: ForwardWorld, endpoint: Endpoint, attempt: Attempt, now_ns: int
+) -> None:
+    world.counters.leaving_answers += 1
+    if endpoint.leaving_since_ns:
+        return
+    endpoint.leaving_since_ns = now_ns
+    request = world.requests.get(attempt.request_id)
+    world.log(
+        "endpoint_leaving",
+        endpoint=endpoint.endpoint_id,
+        service=endpoint.entry.service,
+        registration=endpoint.entry.registration.value,
+        listed=endpoint.registered,
+        relayed=request is not None and request.origin is not None,
+        in_flight=endpoint.in_flight,
+        store_ok=world.store.is_ok,
+    )
+
+
 def _remove_ended(world: ForwardWorld, attempt: Attempt) -> None:
     """Removes an attempt, and its count at its endpoint."""
     if world.attempts.pop(attempt.attempt_id, None) is None:
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -54,6 +54,8 @@
       ejected_until_ns: until when it gets no attempts after failures.
       error_rate: moving average of its failed attempts, from 0 to 1.
       overloaded_until_ns: until when a refusal raises its cost.
+      leaving_since_ns: when an answer first said that it shuts down; 0 for
+        never.
     """
 
     entry: EndpointEntry
@@ -71,6 +73,7 @@
     error_rate: float = 0.0
     error_rate_updated_ns: int = 0
     overloaded_until_ns: int = 0
+    leaving_since_ns: int = 0
 
     @property
     def endpoint_id(self) -> str:
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -40,6 +40,7 @@
       signature: the endpoint's proof that this answer is its own; may be
         empty.
       not_run: whether the endpoint states that it did not run the request.
+      leaving: whether the endpoint states that it shuts down.
     """
 
     status: int
@@ -48,6 +49,7 @@
     body: bytes
     signature: bytes = b""
     not_run: bool = False
+    leaving: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -86,6 +86,7 @@
     relays_failed: int = 0
     endpoint_refusals: int = 0
     endpoint_failures: int = 0
+    leaving_answers: int = 0
     connections_opened: int = 0
     connections_lost: int = 0
     store_calls: int = 0
--- a/src/snipesaddle/platform/endpoints.py
+++ b/src/snipesaddle/platform/endpoints.py
@@ -165,6 +165,7 @@
         body=response.body,
         signature=b"" if encoded else signature,
         not_run=not_run,
+        leaving=response.header(names.LEAVING) == b"1",
     )
 
 
--- a/src/snipesaddle/platform/names.py
+++ b/src/snipesaddle/platform/names.py
@@ -8,6 +8,7 @@
 EXPECTED_ENDPOINT = b"expected-instance"
 EXPECTED_ENDPOINT_SENT = b"Expected-Instance"
 NOT_RUN = b"not-executed"
+LEAVING = b"server-leaving"
 PART_SIGNATURES_SENT = b"Part-Stamps"
 MISSING_PARTS_SENT = b"Missing-Parts"
 
