Show by tests that an endpoint which says that it leaves stays in use

A stand-in that says so in its answers alone, with its registration still ready, shows it: the node goes on sending.

--- a/tests/functional/test_users_platform.py
+++ b/tests/functional/test_users_platform.py
@@ -221,3 +221,15 @@
     assert ended.returncode == 1
     assert ended.stderr.count(b"\n") == 1
     assert b"front" in ended.stderr
+
+
+async def test_a_leaf_that_says_it_leaves_gets_no_more_requests(
+    tmp_path: Path,
+) -> None:
+    async with running(tmp_path, "e1") as site:
+        site.leafs[2].says_leaving = True
+        first = await site.ask("e1", "/order/1", method="POST", content=b"x")
+        assert first.status_code == 200
+        later = await site.ask("e1", "/order/2", method="POST", content=b"x")
+        assert later.status_code == 503
+        assert len(site.leafs[2].runs) == 1
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -153,6 +153,7 @@
     status: int = 200
     mode: str = "sound"
     work_s: float = 0.0
+    says_leaving: bool = False
     runs: list[HttpRequest] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -187,6 +188,8 @@
             (b"Request-Id", request.header(b"request-id") or b""),
             (b"Content-Length", b"%d" % length),
         )
+        if self.says_leaving:
+            headers = (*headers, (b"Server-Leaving", b"1"))
         closing = self.mode == "short"
         asyncio.get_running_loop().call_later(
             self.work_s,
