Count work at the instance of an endpoint that it was sent to

What callers saw: after an endpoint had started again under its id while an answer was outstanding, it could stay out of use. Cause: rows of endpoints were found by id alone, so the end of an attempt or connection of the instance before was taken off the new one's counts. With in_flight at -1, an endpoint that failed once is never usable again, and its connections are counted one short of the limit. Evidence: the test, which saw -1 before. Fix: attempts and connections name the row that they belong to; a removed row has no successor. Found while looking for what an answer of an earlier instance may change.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -73,7 +73,7 @@
     Checks whether the endpoint is unresponsive, or was too slow to connect.
     """
     _remove_ended(world, attempt)
-    endpoint = world.endpoints.get(attempt.endpoint_id)
+    endpoint = world.endpoint_of(attempt)
     if endpoint is None:
         return
     if attempt.sent_ns:
@@ -108,7 +108,7 @@
         if connection is None:
             return
         attempt = world.attempts.get(connection.attempt_id)
-        endpoint = world.endpoints.get(connection.endpoint_id)
+        endpoint = world.endpoint_of(connection)
         if attempt is None or attempt.abandoned or endpoint is None:
             if attempt is not None:
                 _remove_unanswered(world, attempt, now_ns)
@@ -171,7 +171,7 @@
         event: AttemptAnswered,
         now_ns: int,
     ) -> None:
-        endpoint = world.endpoints.get(attempt.endpoint_id)
+        endpoint = world.endpoint_of(attempt)
         if endpoint is None:
             return
         load_balancing.record_answer(endpoint, now_ns)
@@ -209,7 +209,7 @@
             return
         _remove_ended(world, attempt)
         world.counters.connections_lost += 1
-        endpoint = world.endpoints.get(attempt.endpoint_id)
+        endpoint = world.endpoint_of(attempt)
         if endpoint is not None:
             if event.opened:
                 load_balancing.record_result(endpoint, True, now_ns)
@@ -249,6 +249,6 @@
     world.timers.cancel(TimerKind.ATTEMPT, attempt.attempt_id)
     if attempt.charge is not None and not attempt.sent_ns:
         retries.release(world, attempt.service, attempt.charge)
-    endpoint = world.endpoints.get(attempt.endpoint_id)
+    endpoint = world.endpoint_of(attempt)
     if endpoint is not None:
         endpoint.in_flight -= 1
--- a/src/snipesaddle/_internal/systems/forwarding/connections.py
+++ b/src/snipesaddle/_internal/systems/forwarding/connections.py
@@ -74,7 +74,7 @@
     keep_alive_ms: int,
 ) -> None:
     """Returns a connection to the pool, or closes it if no longer needed."""
-    endpoint = world.endpoints.get(connection.endpoint_id)
+    endpoint = world.endpoint_of(connection)
     if endpoint is None or not _keeps(world, endpoint):
         discard(world, connection)
         world.emit(CloseConnection(connection.connection_id))
@@ -107,7 +107,7 @@
     """Removes the row of a connection that is closed or about to be closed."""
     if world.connections.pop(connection.connection_id, None) is None:
         return
-    endpoint = world.endpoints.get(connection.endpoint_id)
+    endpoint = world.endpoint_of(connection)
     if endpoint is None:
         return
     endpoint.connection_count -= 1
@@ -133,6 +133,7 @@
     connection = EndpointConnection(
         connection_id=world.next_id(),
         endpoint_id=endpoint.endpoint_id,
+        endpoint_row_id=endpoint.row_id,
         state=ConnectionState.OPENING,
         state_since_ns=now_ns,
         attempt_id=attempt_id,
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -149,7 +149,7 @@
             world.freed_services[entry.service] = None
 
     def _add(self, world: ForwardWorld, entry: EndpointEntry) -> Endpoint:
-        endpoint = Endpoint(entry)
+        endpoint = Endpoint(entry, row_id=world.next_id())
         world.endpoints[entry.endpoint_id] = endpoint
         world.pool(entry.service).endpoints.append(endpoint)
         return endpoint
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -141,6 +141,7 @@
         part_index=index,
         service=part.service,
         endpoint_id=endpoint.endpoint_id,
+        endpoint_row_id=endpoint.row_id,
         connection_id=connection.connection_id,
         route_name=request.route.name,
         chosen_ns=now_ns,
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -39,6 +39,7 @@
     """An endpoint and this node's statistics about it.
 
     Attributes:
+      row_id: distinguishes rows of instances that register under the same id.
       registered: its registration is in the store.
       expires_at_ns: when it is removed after its registration expired in a
         store outage; 0 if it is registered.
@@ -59,6 +60,7 @@
     """
 
     entry: EndpointEntry
+    row_id: int
     registered: bool = True
     expires_at_ns: int = 0
     warm_from_ns: int = 0
@@ -102,6 +104,7 @@
     """A connection to an endpoint; it carries one attempt at a time.
 
     Attributes:
+      endpoint_row_id: the row of the endpoint that it was opened to.
       state_since_ns: when it started to open or last became idle.
       attempt_id: the attempt on it, or waiting for it to open; 0 for none.
       reusable_until_ns: shortly before the endpoint may close it as idle; 0
@@ -110,6 +113,7 @@
 
     connection_id: int
     endpoint_id: str
+    endpoint_row_id: int
     state: ConnectionState
     state_since_ns: int
     attempt_id: int = 0
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -197,6 +197,7 @@
     """One part of a request at one endpoint.
 
     Attributes:
+      endpoint_row_id: the row of the endpoint that it was placed on.
       chosen_ns: when its endpoint was chosen.
       sent_ns: when it was sent on its connection; 0 while that opens.
       charge: what pays for it in the retry budget, if it is a retry or a hedge.
@@ -208,6 +209,7 @@
     part_index: int
     service: str
     endpoint_id: str
+    endpoint_row_id: int
     connection_id: int
     route_name: str
     chosen_ns: int
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -174,6 +174,18 @@
             pool = self.pools[service] = ServicePool(service)
         return pool
 
+    def endpoint_of(
+        self, user: Attempt | EndpointConnection
+    ) -> Endpoint | None:
+        """Returns the endpoint of an attempt or a connection.
+
+        None if it was removed, also if a new instance has its id.
+        """
+        endpoint = self.endpoints.get(user.endpoint_id)
+        if endpoint is None or endpoint.row_id != user.endpoint_row_id:
+            return None
+        return endpoint
+
     def latency(self, route_name: str) -> RouteLatency:
         """Returns the latency estimates of a route."""
         latency = self.latencies.get(route_name)
--- a/tests/unit/forwarding/test_leaving_endpoints.py
+++ b/tests/unit/forwarding/test_leaving_endpoints.py
@@ -200,3 +200,18 @@
     ]
     (told,) = {found for reply in replies for found in reply.leaving}
     assert told.endpoint_id == "s1b"
+
+
+# The counts of the new instance went below zero, and after a failure it was
+# never used again.
+def test_work_of_an_earlier_instance_does_not_count_at_the_restarted_one() -> (
+    None
+):
+    ticks = one_node(file_entry("f1"))
+    ticks.ask(b"/file/7")
+    (late,) = ticks.taken(commands.SendAttempt)
+    ticks.change(Range.ENDPOINTS, "f1", file_entry("f1", born_unix_ms=2))
+    ticks.answer(late)
+    endpoint = ticks.world.endpoints["f1"]
+    assert endpoint.in_flight == 0
+    assert endpoint.connection_count == 0
