Refuse parts that wait for an endpoint that begins to drain

What callers saw: a request that waited for a connection to the only copy was held until its time limit and then failed, although nothing could serve it any more. Cause: a registration that changes to draining closed the idle connections, but did not have the waiting parts of its service placed again; only a ready one did. Fix: any change of a registration frees the service, so that the parts go to another copy or are refused at once.

--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -145,8 +145,8 @@
         world.timers.cancel(TimerKind.ENDPOINT, entry.endpoint_id)
         if entry.registration is Registration.DRAINING:
             connections.close_idle(world, endpoint)
-        else:
-            world.freed_services[entry.service] = None
+        # Parts may wait for a connection to it, also in vain from now on.
+        world.freed_services[entry.service] = None
 
     def _add(self, world: ForwardWorld, entry: EndpointEntry) -> Endpoint:
         endpoint = Endpoint(entry, row_id=world.next_id())
