Send nothing to an endpoint that says in an answer that it leaves

Cause: what an endpoint says of itself was read from its registration alone. While the endpoint, the node or both do not reach the store, the registration stays ready, and each answer that said otherwise was passed on unread. Why this fix works: the first such answer of an instance, also one of a hedge that lost or to a part of a relay, ends the placing of new work on it, closes its idle connections and has waiting parts placed elsewhere. It is kept beside the table of endpoints, so that an older list cannot bring the instance back; a restart under the same id is used. A node that gathers parts for another one names such endpoints in its reply, since the asking node passes the answer on and may call the endpoint itself.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -5,6 +5,7 @@
 from snipesaddle._internal.systems.forwarding import (
     connections,
     containment,
+    departures,
     load_balancing,
     placement,
     retries,
@@ -12,7 +13,6 @@
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import CloseConnection
 from snipesaddle._internal.tables.forwarding.endpoints import (
-    Endpoint,
     EndpointConnection,
 )
 from snipesaddle._internal.tables.forwarding.events import (
@@ -147,6 +147,9 @@
         if attempt is None:
             return
         _remove_ended(world, attempt)
+        if event.answer.leaving:
+            world.counters.leaving_answers += 1
+            departures.record(world, attempt.entry, "answer", now_ns)
         self._update_endpoint(world, attempt, event, now_ns)
         if not attempt.abandoned:
             world.answered_attempts.append(AnsweredAttempt(attempt, event))
@@ -176,8 +179,6 @@
             return
         load_balancing.record_answer(endpoint, now_ns)
         answer = event.answer
-        if answer.leaving:
-            _record_leaving(world, endpoint, attempt, now_ns)
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             load_balancing.record_failure(
                 world, endpoint, now_ns, "misdirected"
@@ -222,26 +223,6 @@
             world.lost_attempts.append(LostAttempt(attempt, sent, event.detail))
 
 
-def _record_leaving(
-    world: ForwardWorld, endpoint: Endpoint, attempt: Attempt, now_ns: int
-) -> None:
-    world.counters.leaving_answers += 1
-    if endpoint.leaving_since_ns:
-        return
-    endpoint.leaving_since_ns = now_ns
-    request = world.requests.get(attempt.request_id)
-    world.log(
-        "endpoint_leaving",
-        endpoint=endpoint.endpoint_id,
-        service=endpoint.entry.service,
-        registration=endpoint.entry.registration.value,
-        listed=endpoint.registered,
-        relayed=request is not None and request.origin is not None,
-        in_flight=endpoint.in_flight,
-        store_ok=world.store.is_ok,
-    )
-
-
 def _remove_ended(world: ForwardWorld, attempt: Attempt) -> None:
     """Removes an attempt, and its count at its endpoint."""
     if world.attempts.pop(attempt.attempt_id, None) is None:
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -9,6 +9,7 @@
     attempts,
     containment,
     deadlines,
+    departures,
     wakeups,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -146,15 +147,20 @@
             request, missing, request.total_parts
         )
         if not request.open_parts or now_ns >= request.soft_deadline_ns:
-            return self._reply(request, origin, more=False)
+            return self._reply(world, request, origin, more=False)
         if now_ns >= request.earliest_partial_ns and not request.replied_early:
             request.replied_early = True
             if request.answered_parts:
-                world.emit(self._reply(request, origin, more=True))
+                world.emit(self._reply(world, request, origin, more=True))
         return None
 
     def _reply(
-        self, request: Request, origin: RelayOrigin, *, more: bool
+        self,
+        world: ForwardWorld,
+        request: Request,
+        origin: RelayOrigin,
+        *,
+        more: bool,
     ) -> SendToNode:
         bodies: list[bytes] = []
         signatures: list[bytes] = []
@@ -170,6 +176,7 @@
             body=merge_records(bodies, request.route.top_k),
             signatures=tuple(signatures),
             more=more,
+            leaving=departures.among_tried(world, request),
         )
         return SendToNode(origin.peer_address, reply)
 
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -6,12 +6,11 @@
 unable to renew it.
 """
 
-from snipesaddle._internal.systems.forwarding import connections
+from snipesaddle._internal.systems.forwarding import connections, departures
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.endpoints import (
     Endpoint,
     EndpointEntry,
-    Registration,
 )
 from snipesaddle._internal.tables.forwarding.messages import EndpointsShare
 from snipesaddle._internal.tables.forwarding.store_ranges import (
@@ -47,6 +46,7 @@
             self._apply_peer_list(world, share, now_ns)
         for key in world.timers.pop_due(TimerKind.ENDPOINT, now_ns):
             self._remove_after_grace(world, str(key), now_ns)
+        departures.forget_due(world, now_ns)
 
     def _apply_list(
         self, world: ForwardWorld, items: dict[str, Item], now_ns: int
@@ -77,7 +77,7 @@
         if endpoint is None:
             return
         if isinstance(change.item, UnreadableItem):
-            self._remove(world, endpoint, "unreadable")
+            self._remove(world, endpoint, "unreadable", now_ns)
         else:
             self._expire(world, endpoint, now_ns)
 
@@ -97,6 +97,7 @@
                 world,
                 world.endpoints[endpoint_id],
                 "missing from the list of a peer",
+                now_ns,
             )
         world.log(
             "endpoints_from_peer",
@@ -124,8 +125,10 @@
         log_added: bool = True,
     ) -> None:
         endpoint = world.endpoints.get(entry.endpoint_id)
-        if endpoint is not None and _is_new_instance(endpoint.entry, entry):
-            self._remove(world, endpoint, "endpoint restarted")
+        if endpoint is not None and departures.is_new_instance(
+            endpoint.entry, entry
+        ):
+            self._remove(world, endpoint, "endpoint restarted", now_ns)
             endpoint = None
         if endpoint is None:
             endpoint = self._add(world, entry)
@@ -143,7 +146,8 @@
         endpoint.expires_at_ns = 0
         endpoint.warm_from_ns = now_ns + entry.warmup_left_ms * NS_PER_MS
         world.timers.cancel(TimerKind.ENDPOINT, entry.endpoint_id)
-        if entry.registration is Registration.DRAINING:
+        endpoint.leaving = departures.is_leaving(world, entry)
+        if not endpoint.accepts_work():
             connections.close_idle(world, endpoint)
         # Parts may wait for a connection to it, also in vain from now on.
         world.freed_services[entry.service] = None
@@ -175,7 +179,7 @@
             world.store.recovered_ns > 0 and expires_at_ns > now_ns
         )
         if not in_outage_grace or not endpoint.accepts_work():
-            self._remove(world, endpoint, "lapsed")
+            self._remove(world, endpoint, "lapsed", now_ns)
             return
         endpoint.expires_at_ns = expires_at_ns
         world.timers.set(
@@ -188,13 +192,17 @@
         endpoint = world.endpoints.get(endpoint_id)
         if endpoint is not None and 0 < endpoint.expires_at_ns <= now_ns:
             self._remove(
-                world, endpoint, "not registered again after the store outage"
+                world,
+                endpoint,
+                "not registered again after the store outage",
+                now_ns,
             )
 
     def _remove(
-        self, world: ForwardWorld, endpoint: Endpoint, why: str
+        self, world: ForwardWorld, endpoint: Endpoint, why: str, now_ns: int
     ) -> None:
         connections.close_idle(world, endpoint)
+        departures.forget_later(world, endpoint.endpoint_id, now_ns)
         del world.endpoints[endpoint.endpoint_id]
         pool = world.pool(endpoint.entry.service)
         pool.endpoints.remove(endpoint)
@@ -205,11 +213,3 @@
             service=endpoint.entry.service,
             why=why,
         )
-
-
-def _is_new_instance(old: EndpointEntry, new: EndpointEntry) -> bool:
-    return (
-        old.born_unix_ms != new.born_unix_ms
-        or old.address != new.address
-        or old.service != new.service
-    )
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -140,7 +140,7 @@
         request_id=request.request_id,
         part_index=index,
         service=part.service,
-        endpoint_id=endpoint.endpoint_id,
+        entry=endpoint.entry,
         endpoint_row_id=endpoint.row_id,
         connection_id=connection.connection_id,
         route_name=request.route.name,
--- a/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
@@ -9,6 +9,7 @@
 from snipesaddle._internal.systems.forwarding import (
     attempts,
     containment,
+    departures,
     placement,
     relaying,
     retries,
@@ -93,6 +94,7 @@
     def _on_reply(
         self, world: ForwardWorld, reply: RelayReply, now_ns: int
     ) -> None:
+        departures.record_told(world, reply.leaving, now_ns)
         relay = world.relays.get(reply.relay_id)
         request = world.requests.get(relay.request_id) if relay else None
         if relay is None or request is None:
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -55,8 +55,7 @@
       ejected_until_ns: until when it gets no attempts after failures.
       error_rate: moving average of its failed attempts, from 0 to 1.
       overloaded_until_ns: until when a refusal raises its cost.
-      leaving_since_ns: when an answer first said that it shuts down; 0 for
-        never.
+      leaving: it has said in an answer that it shuts down.
     """
 
     entry: EndpointEntry
@@ -75,7 +74,7 @@
     error_rate: float = 0.0
     error_rate_updated_ns: int = 0
     overloaded_until_ns: int = 0
-    leaving_since_ns: int = 0
+    leaving: bool = False
 
     @property
     def endpoint_id(self) -> str:
@@ -88,7 +87,9 @@
         An endpoint whose registration expired in a store outage may, until
         its grace period ends and its row is removed.
         """
-        return self.entry.registration is Registration.READY
+        return (
+            self.entry.registration is Registration.READY and not self.leaving
+        )
 
 
 class ConnectionState(enum.Enum):
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -117,12 +117,14 @@
       signatures: the signature of each requested part; empty if the part has
         no answer yet or was in an earlier reply.
       more: another reply follows.
+      leaving: endpoints of these parts that have said that they leave.
     """
 
     relay_id: int
     body: bytes
     signatures: tuple[bytes, ...]
     more: bool = False
+    leaving: tuple[EndpointEntry, ...] = ()
 
 
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True):
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from snipesaddle._internal.tables.forwarding.budgets import ExtraCharge
+from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
 from snipesaddle._internal.tables.forwarding.routes import Route
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -197,7 +198,8 @@
     """One part of a request at one endpoint.
 
     Attributes:
-      endpoint_row_id: the row of the endpoint that it was placed on.
+      entry: the registration of its endpoint when it was placed.
+      endpoint_row_id: the row of that endpoint.
       chosen_ns: when its endpoint was chosen.
       sent_ns: when it was sent on its connection; 0 while that opens.
       charge: what pays for it in the retry budget, if it is a retry or a hedge.
@@ -208,7 +210,7 @@
     request_id: int
     part_index: int
     service: str
-    endpoint_id: str
+    entry: EndpointEntry
     endpoint_row_id: int
     connection_id: int
     route_name: str
@@ -216,3 +218,8 @@
     sent_ns: int = 0
     charge: ExtraCharge | None = None
     abandoned: bool = False
+
+    @property
+    def endpoint_id(self) -> str:
+        """The id of its endpoint."""
+        return self.entry.endpoint_id
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -13,6 +13,7 @@
 from snipesaddle._internal.tables.forwarding.endpoints import (
     Endpoint,
     EndpointConnection,
+    EndpointEntry,
     ServicePool,
 )
 from snipesaddle._internal.tables.forwarding.events import AttemptAnswered
@@ -105,6 +106,8 @@
       endpoints_revision: all endpoint changes up to this revision are known.
       peer_list_revision: the revision of the last endpoint list from a peer;
         it contains all older changes from the store.
+      leaving_entries: the registrations of the endpoints that have said that
+        they leave, by endpoint id; kept for some time after their removal.
       request_id_by_client: the open request of each client.
       request_id_by_origin: the requests that other nodes relayed to this one.
       answered_attempts: attempts answered in this tick.
@@ -141,6 +144,7 @@
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     endpoints_revision: int = 0
     peer_list_revision: int = 0
+    leaving_entries: dict[str, EndpointEntry] = field(default_factory=dict)
     pools: dict[str, ServicePool] = field(default_factory=dict)
     connections: dict[int, EndpointConnection] = field(default_factory=dict)
     requests: dict[int, Request] = field(default_factory=dict)
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -30,6 +30,7 @@
     PRESENCE = enum.auto()
     FLEET_HEARTBEAT = enum.auto()
     ENDPOINT = enum.auto()
+    DEPARTURE = enum.auto()
     REQUEST = enum.auto()
     PART_RETRY = enum.auto()
     ATTEMPT = enum.auto()
--- a/tests/unit/forwarding/test_leaving_endpoints.py
+++ b/tests/unit/forwarding/test_leaving_endpoints.py
@@ -109,19 +109,25 @@
 
 # The list of a store or a peer that is behind still says that it is ready.
 def test_an_older_list_does_not_bring_a_leaving_endpoint_back() -> None:
-    for leaves_by_answer in (True, False):
-        ticks = one_node(file_entry("f1"), file_entry("f2", zone="b"))
-        if leaves_by_answer:
-            tell_leaving(ticks, "f1")
-        else:
-            draining = file_entry("f1", registration=Registration.DRAINING)
-            ticks.change(Range.ENDPOINTS, "f1", draining)
-        ready = file_entry("f1", warmup_left_ms=1)
-        ticks.change(Range.ENDPOINTS, "f1", ready, revision=12)
-        assert used_endpoints(ticks) == {"f2"}
-        ticks.change(Range.ENDPOINTS, "f1", None, revision=13)
-        ticks.change(Range.ENDPOINTS, "f1", ready, revision=14)
-        assert used_endpoints(ticks) == {"f2"}
+    ticks = one_node(file_entry("f1"), file_entry("f2", zone="b"))
+    tell_leaving(ticks, "f1")
+    ready = file_entry("f1", warmup_left_ms=1)
+    ticks.change(Range.ENDPOINTS, "f1", ready, revision=12)
+    assert used_endpoints(ticks) == {"f2"}
+    ticks.change(Range.ENDPOINTS, "f1", None, revision=13)
+    ticks.change(Range.ENDPOINTS, "f1", ready, revision=14)
+    assert used_endpoints(ticks) == {"f2"}
+
+
+# Its registration expired while the answer was on its way.
+def test_an_unlisted_endpoint_that_said_it_leaves_stays_out_of_use() -> None:
+    ticks = one_node(file_entry("f1"), file_entry("f2", zone="b"))
+    ticks.ask(b"/file/7")
+    (attempt,) = ticks.taken(commands.SendAttempt)
+    ticks.change(Range.ENDPOINTS, "f1", None)
+    ticks.answer(attempt, leaving=True)
+    ticks.change(Range.ENDPOINTS, "f1", file_entry("f1"), revision=12)
+    assert used_endpoints(ticks) == {"f2"}
 
 
 def test_an_endpoint_that_starts_again_is_used_again() -> None:
