Log which rate limits endpoints name in their answers

No line said that an endpoint named a limit or what was sent to it since. endpoint_limited is written when an answer first names one, and endpoint_limit_ended when an answer to a later request names none, with this node's sends in between. No decision reads it yet.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -8,6 +8,7 @@
     departures,
     load_balancing,
     placement,
+    rate_limits,
     retries,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -179,6 +180,7 @@
             return
         load_balancing.record_answer(endpoint, now_ns)
         answer = event.answer
+        rate_limits.record_answer(world, endpoint, attempt, answer, now_ns)
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             load_balancing.record_failure(
                 world, endpoint, now_ns, "misdirected"
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -4,6 +4,7 @@
     connections,
     containment,
     load_balancing,
+    rate_limits,
     retries,
 )
 from snipesaddle._internal.systems.forwarding.load_balancing import (
@@ -173,6 +174,7 @@
     part.run_endpoint_ids.append(endpoint.endpoint_id)
     part.send_count += 1
     load_balancing.record_sent(endpoint, now_ns)
+    rate_limits.record_sent(endpoint)
     left_ms = (request.deadline_ns - now_ns) // NS_PER_MS
     world.emit(
         SendAttempt(
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -34,6 +34,23 @@
     born_unix_ms: int = 0
 
 
+@dataclass(slots=True)
+class RateLimit:
+    """A limit that an endpoint has named in its answers.
+
+    Attributes:
+      max_requests_per_s: what it takes from all nodes together.
+      named_ns: when an answer last named it.
+      sends: attempts that this node has sent to it since it was first named.
+      first_named_ns: when it was first named.
+    """
+
+    max_requests_per_s: float
+    named_ns: int
+    first_named_ns: int
+    sends: int = 0
+
+
 @dataclass(slots=True)
 class Endpoint:
     """An endpoint and this node's statistics about it.
@@ -55,6 +72,8 @@
       ejected_until_ns: until when it gets no attempts after failures.
       error_rate: moving average of its failed attempts, from 0 to 1.
       overloaded_until_ns: until when a refusal raises its cost.
+      rate_limit: how many requests it takes, as its answers say; None if they
+        name no limit.
       leaving: it has said in an answer that it shuts down.
     """
 
@@ -74,6 +93,7 @@
     error_rate: float = 0.0
     error_rate_updated_ns: int = 0
     overloaded_until_ns: int = 0
+    rate_limit: RateLimit | None = None
     leaving: bool = False
 
     @property
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -42,6 +42,8 @@
         empty.
       not_run: whether the endpoint states that it did not run the request.
       leaving: whether the endpoint states that it shuts down.
+      max_requests_per_s: how many requests the endpoint takes at present from
+        all nodes together; None if it names no limit.
     """
 
     status: int
@@ -51,6 +53,7 @@
     signature: bytes = b""
     not_run: bool = False
     leaving: bool = False
+    max_requests_per_s: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/src/snipesaddle/platform/endpoints.py
+++ b/src/snipesaddle/platform/endpoints.py
@@ -1,5 +1,6 @@
 """Attempts sent to endpoints over the platform's HTTP protocol."""
 
+import re
 from http import HTTPStatus
 
 from snipesaddle._internal.adapters.http1.client import (
@@ -23,6 +24,8 @@
 _MS_PER_S = 1_000
 _REPLACED_HEADERS = frozenset({names.TIME_LIMIT, names.EXPECTED_ENDPOINT})
 _TIMEOUT_PARAMETER = b"timeout="
+# With few digits, so that the number is finite.
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 class PlatformEndpointTransport(EndpointTransport, ResponseListener):
@@ -166,9 +169,17 @@
         signature=b"" if encoded else signature,
         not_run=not_run,
         leaving=response.header(names.LEAVING) == b"1",
+        max_requests_per_s=_decimal(response.header(names.RATE_LIMIT)),
     )
 
 
+def _decimal(value: bytes | None) -> float | None:
+    """Returns a header's decimal number; None if it is none."""
+    if value is None or not _DECIMAL.fullmatch(value.strip()):
+        return None
+    return float(value)
+
+
 def _keep_alive_ms(response: HttpResponse) -> int:
     value = response.header(b"keep-alive")
     if value is None:
--- a/src/snipesaddle/platform/names.py
+++ b/src/snipesaddle/platform/names.py
@@ -9,6 +9,7 @@
 EXPECTED_ENDPOINT_SENT = b"Expected-Instance"
 NOT_RUN = b"not-executed"
 LEAVING = b"server-leaving"
+RATE_LIMIT = b"server-limit"
 PART_SIGNATURES_SENT = b"Part-Stamps"
 MISSING_PARTS_SENT = b"Missing-Parts"
 
