--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -55,6 +55,8 @@
       message_loss_ratio: share of the messages between nodes that are lost.
       store_is_down: calls to the store fail.
       cut_off: nodes that reach neither the store nor other nodes.
+      rate_limits: the requests a second that endpoints name as their limit, by
+        endpoint id.
     """
 
     refused_ratio: float = 0.0
@@ -64,6 +66,7 @@
     message_loss_ratio: float = 0.0
     store_is_down: bool = False
     cut_off: frozenset[str] = frozenset()
+    rate_limits: dict[str, float] = field(default_factory=dict)
 
     def without_store(self, name: str) -> bool:
         """Returns whether a node's calls to the store fail."""
@@ -86,6 +89,8 @@
 
     Attributes:
       arrivals: all attempts that reached endpoints, by service.
+      arrival_times: the times of all attempts that reached endpoints, by
+        endpoint id.
       asked: the times at which clients sent their requests.
       peak_connections: the most connections at one time, by endpoint.
     """
@@ -101,6 +106,7 @@
         self.now_ns = _STARTED_NS
         self.faults = Faults()
         self.arrivals: defaultdict[str, list[Arrival]] = defaultdict(list)
+        self.arrival_times: defaultdict[str, list[int]] = defaultdict(list)
         self.asked: list[int] = []
         self.answers: Counter[str] = Counter()
         self.connections: Counter[str] = Counter()
@@ -322,10 +328,19 @@
         )
         request_id = attempt.request.arrived.client_request_id
         self.arrivals[service].append(Arrival(self.now_ns, request_id))
+        self.arrival_times[attempt.endpoint_id].append(self.now_ns)
         faults = self.faults
         chance = self._rng.random()
         if chance < faults.refused_ratio:
-            refusal = EndpointAnswer(503, b"", (), b"", b"", not_run=True)
+            refusal = EndpointAnswer(
+                503,
+                b"",
+                (),
+                b"",
+                b"",
+                not_run=True,
+                max_requests_per_s=faults.rate_limits.get(attempt.endpoint_id),
+            )
             self._answer(run, attempt, _LINK_MS, refusal)
             return
         slow = self._rng.random() < faults.slow_ratio
@@ -334,7 +349,14 @@
             self.at(work_ms, lambda: self._lose(run, attempt))
             return
         signature = b"%d" % next(self._order)
-        answer = EndpointAnswer(200, b"", (), bytes(16), signature)
+        answer = EndpointAnswer(
+            200,
+            b"",
+            (),
+            bytes(16),
+            signature,
+            max_requests_per_s=faults.rate_limits.get(attempt.endpoint_id),
+        )
         self._answer(run, attempt, work_ms + _LINK_MS, answer)
 
     def _answer(
--- /dev/null
+++ b/tests/unit/forwarding/test_rate_limits.py
@@ -0,0 +1,224 @@
+"""Endpoints that name in their answers how many requests they take."""
+
+import dataclasses
+import random
+from collections import Counter
+
+import pytest
+from standins.forwarding import ForwardTicks, entry, merge_route, pass_route
+from standins.rate_limit import limit_overrun
+from standins.simulated_fleet import SimulatedFleet
+
+from snipesaddle._internal.models.forwarding import RetrySettings
+from snipesaddle._internal.tables.forwarding import commands, messages
+from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
+from snipesaddle._internal.tables.forwarding.messages import (
+    RelayAsk,
+    RelayReply,
+)
+from snipesaddle._internal.tables.forwarding.routes import (
+    ClientLimits,
+    RouteConfig,
+    ServiceLimits,
+)
+
+SEEDS = (1, 2, 3)
+SHARDS = 6
+MIN_SHARDS = 5
+ZONES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
+LIMIT = 8.0
+REQUEST_GAP_MS = 22.0
+LOAD_MS = 20_000
+
+
+def started_fleet(seed: int) -> SimulatedFleet:
+    route = merge_route(SHARDS, min_coverage=MIN_SHARDS / SHARDS)
+    config = RouteConfig(
+        version=1,
+        routes=(route,),
+        services={name: ServiceLimits(name, 40) for name in route.shards},
+        limits=ClientLimits(),
+        source=b"config",
+    )
+    entries = [
+        entry(f"{name}{zone}", name, zone=zone, address=f"{name}{zone}:1")
+        for name in route.shards
+        for zone in "ab"
+    ]
+    retries = RetrySettings(ratio=0.2, slack=58.0, window_s=10)
+    fleet = SimulatedFleet(config, entries, ZONES, retries, seed)
+    for name in ZONES:
+        fleet.start(name)
+    fleet.advance(12_000)
+    return fleet
+
+
+def load(fleet: SimulatedFleet, ms: float) -> None:
+    rng = random.Random(7)
+    elapsed_ms = 0.0
+    while elapsed_ms < ms:
+        gap_ms = rng.expovariate(1 / REQUEST_GAP_MS)
+        fleet.ask(b"/sweep/x")
+        fleet.advance(gap_ms)
+        elapsed_ms += gap_ms
+
+
+def limit_endpoints(fleet: SimulatedFleet, *endpoint_ids: str) -> int:
+    """Has endpoints name a limit from now on; returns the time."""
+    load(fleet, 3_000)
+    fleet.faults = dataclasses.replace(
+        fleet.faults, rate_limits=dict.fromkeys(endpoint_ids, LIMIT)
+    )
+    return fleet.now_ns
+
+
+def overrun(fleet: SimulatedFleet, endpoint_id: str, named_ns: int) -> float:
+    return limit_overrun(fleet.arrival_times[endpoint_id], named_ns, LIMIT)
+
+
+# No node read the limit, and the nodes that relay to others never saw it.
+def test_an_endpoint_gets_no_more_than_the_limit_that_it_names() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed)
+        named_ns = limit_endpoints(fleet, "s0a", "s1b")
+        load(fleet, LOAD_MS)
+        for endpoint_id in ("s0a", "s1b"):
+            assert overrun(fleet, endpoint_id, named_ns) <= 0, seed
+        assert fleet.answers["whole"] > 0.97 * len(fleet.asked)
+
+
+def test_restarted_nodes_keep_to_the_limit_that_an_endpoint_names() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed)
+        named_ns = limit_endpoints(fleet, "s0a", "s1b")
+        for name in ZONES:
+            load(fleet, 4_000)
+            fleet.restart(name, 500)
+        load(fleet, 4_000)
+        for endpoint_id in ("s0a", "s1b"):
+            assert overrun(fleet, endpoint_id, named_ns) <= 0, seed
+
+
+# Shards that admit different requests leave none of them with enough parts.
+def test_shards_that_all_name_a_limit_admit_the_same_requests() -> None:
+    for seed in SEEDS:
+        fleet = started_fleet(seed)
+        limited = [f"s{number}{zone}" for number in range(3) for zone in "ab"]
+        named_ns = limit_endpoints(fleet, *limited)
+        load(fleet, 4_000)
+        before = Counter(fleet.answers)
+        asked = len(fleet.asked)
+        load(fleet, LOAD_MS)
+        for endpoint_id in limited:
+            assert overrun(fleet, endpoint_id, named_ns) <= 0, seed
+        served = fleet.answers - before
+        # Two copies with this limit each would serve this share at best.
+        possible = 2 * LIMIT * REQUEST_GAP_MS / 1_000
+        share = (served["whole"] + served["partial"]) / (
+            len(fleet.asked) - asked
+        )
+        assert share > 0.8 * possible, seed
+        assert not served["failed"]
+        assert not served["timeout"]
+
+
+def file_entry(endpoint_id: str, **changes: object) -> EndpointEntry:
+    return entry(endpoint_id, "file", **changes)
+
+
+def ask_many(ticks: ForwardTicks, count: int, gap_ms: float) -> Counter[str]:
+    """Counts where requests are sent; each is answered at once."""
+    sent: Counter[str] = Counter()
+    for _ in range(count):
+        ticks.ask(b"/file/7")
+        for attempt in ticks.taken(commands.SendAttempt):
+            sent[attempt.endpoint_id] += 1
+            limited = attempt.endpoint_id == "f1"
+            ticks.answer(attempt, max_requests_per_s=LIMIT if limited else None)
+        ticks.advance(gap_ms)
+    return sent
+
+
+def test_requests_above_the_limit_go_to_another_copy() -> None:
+    ticks = ForwardTicks(
+        [pass_route()], [file_entry("f1"), file_entry("f2", zone="b")]
+    )
+    ask_many(ticks, 1, 10)
+    sent = ask_many(ticks, 100, 20)
+    assert sent["f1"] <= LIMIT * 2 + LIMIT
+    assert sum(sent.values()) == 100
+
+
+def test_requests_above_the_limit_of_all_copies_are_refused_at_once() -> None:
+    ticks = ForwardTicks([pass_route()], [file_entry("f1")])
+    ask_many(ticks, 1, 10)
+    ticks.commands.clear()
+    sent = ask_many(ticks, 100, 20)
+    assert 0.6 * LIMIT * 2 <= sent["f1"] <= LIMIT * 2 + LIMIT
+    errors = ticks.taken(commands.SendError)
+    assert len(errors) + sent["f1"] == 100
+    for error in errors:
+        assert error.error_kind is commands.ErrorKind.NOT_RUN
+        assert 0 < error.retry_after_ms <= 1_000
+
+
+def test_a_limit_ends_when_a_later_request_is_answered_without_it() -> None:
+    ticks = ForwardTicks([pass_route()], [file_entry("f1")])
+    ticks.ask(b"/file/7")
+    ticks.ask(b"/file/7")
+    first, second = ticks.taken(commands.SendAttempt)
+    ticks.answer(first, max_requests_per_s=LIMIT)
+    ticks.answer(second)
+    assert ticks.world.endpoints["f1"].rate_limit is not None
+    ticks.advance(1_000)
+    ticks.ask(b"/file/7")
+    (third,) = ticks.taken(commands.SendAttempt)
+    ticks.answer(third)
+    assert ticks.world.endpoints["f1"].rate_limit is None
+
+
+@pytest.fixture
+def zoned() -> ForwardTicks:
+    """Returns a node that has shards s1 to s3 gathered in zone b."""
+    entries = [entry("s0a", "s0")]
+    for number in range(1, 4):
+        entries.append(entry(f"s{number}b", f"s{number}", zone="b"))
+    ticks = ForwardTicks([merge_route(4)], entries)
+    ticks.beat("e2", zone="b")
+    return ticks
+
+
+def asks(ticks: ForwardTicks) -> list[RelayAsk]:
+    return [
+        command.message
+        for command in ticks.taken(commands.SendToNode)
+        if isinstance(command.message, RelayAsk)
+    ]
+
+
+# The asking node passes on the answer, but another node has got it.
+def test_a_relay_reply_tells_of_the_limits_that_endpoints_name(
+    zoned: ForwardTicks,
+) -> None:
+    zoned.ask(b"/sweep/x")
+    (ask,) = asks(zoned)
+    gathering = ForwardTicks(
+        [],
+        [entry(f"s{number}b", f"s{number}", zone="b") for number in (1, 2, 3)],
+    )
+    gathering.tick(ask)
+    gathering.open_all()
+    for attempt in gathering.taken(commands.SendAttempt):
+        limited = attempt.endpoint_id == "s1b"
+        gathering.answer(attempt, max_requests_per_s=LIMIT if limited else None)
+    replies = [
+        command.message
+        for command in gathering.taken(commands.SendToNode)
+        if isinstance(command.message, RelayReply)
+    ]
+    (reply,) = replies
+    assert reply.limits == (messages.EndpointLimit("s1b", 1, LIMIT),)
+    zoned.tick(reply)
+    limit = zoned.world.endpoints["s1b"].rate_limit
+    assert limit is not None
+    assert limit.max_requests_per_s == LIMIT
