Keep to the rate limits that endpoints name in their answers

What callers saw (LIMIT): an endpoint that had named a limit got far more requests than that; its trouble went on, and with it theirs. Cause: the statement was not read. Where nodes gather parts for each other, nearly all requests of an endpoint come from one node, and the nodes that pass the answers on never saw it. Class: a limit of the whole fleet of which a process takes what it does not know for absent. Why this fix works: each node takes its share of the limit, by the same fleet shares as the retry budget and connections, as a token bucket that saves one second's worth at most. Requests above it go to other copies. A relay reply names the limits, and the asking node then calls such endpoints itself, under its own share. A request that cannot get enough parts is refused before any is sent, with the time until it could; so shards that are limited together admit the same requests. A limit ends when a request sent after it was last named is answered without it.

--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/admission.py
@@ -0,0 +1,77 @@
+"""Admission: refuses a request that cannot get enough answers, before any work.
+
+Answers the load pattern of many endpoints that name rate limits. If each shard
+admitted requests by itself, hardly any request would get the answers of enough
+shards, and what the others had run for it would be wasted.
+"""
+
+import math
+
+from snipesaddle._internal.systems.forwarding import (
+    load_balancing,
+    rate_limits,
+)
+from snipesaddle._internal.tables.forwarding.requests import Request
+from snipesaddle._internal.tables.forwarding.routes import Route
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+
+def min_answered_parts(route: Route, total: int) -> int:
+    """Returns of how many parts a request needs an answer."""
+    if not route.shards:
+        return total
+    return max(1, math.ceil(route.min_coverage * total - 1e-9))
+
+
+def wait_ns(world: ForwardWorld, request: Request, now_ns: int) -> float:
+    """Returns how long until enough parts of a new request can be sent.
+
+    Returns:
+      0 if they can be sent now; infinity if too few parts have an endpoint.
+    """
+    if not world.limited_endpoint_ids:
+        return 0.0
+    waits_ns = sorted(
+        _service_wait_ns(world, part.service, now_ns) for part in request.parts
+    )
+    needed = min_answered_parts(request.route, len(request.parts))
+    return waits_ns[needed - 1]
+
+
+def admit(world: ForwardWorld, request: Request) -> None:
+    """Counts the parts of an admitted request until they are placed."""
+    if not world.limited_endpoint_ids:
+        return
+    for part in request.parts:
+        admitted = world.admitted_parts.get(part.service, 0)
+        world.admitted_parts[part.service] = admitted + 1
+
+
+def _service_wait_ns(world: ForwardWorld, service: str, now_ns: int) -> float:
+    pool = world.pools.get(service)
+    if pool is None:
+        return math.inf
+    usable = [
+        endpoint
+        for endpoint in pool.endpoints
+        if load_balancing.is_usable(endpoint, now_ns)
+    ]
+    if any(endpoint.rate_limit is None for endpoint in usable):
+        return 0.0
+    spare = sum(
+        rate_limits.spare_attempts(world, endpoint, now_ns)
+        for endpoint in usable
+    )
+    if spare > world.admitted_parts.get(service, 0):
+        return 0.0
+    # All tokens may be promised to parts that are not placed yet.
+    return max(
+        1.0,
+        min(
+            (
+                rate_limits.wait_ns(world, endpoint, now_ns)
+                for endpoint in usable
+            ),
+            default=math.inf,
+        ),
+    )
--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -1,6 +1,9 @@
 """Arrivals: accepts client requests, or refuses them before any work."""
 
+import math
+
 from snipesaddle._internal.systems.forwarding import (
+    admission,
     completion,
     containment,
     deadlines,
@@ -33,6 +36,7 @@
 _REPLY_MARGIN_MS = 8
 # For a request that did not run, for instance while this node is starting.
 _RETRY_AFTER_MS = 300
+_MAX_RETRY_AFTER_MS = 1_000
 
 
 class ArrivalsSystem(TickSystem[ForwardWorld]):
@@ -106,6 +110,18 @@
         if not _may_finish(world, request):
             self._refuse(world, arrived, ErrorKind.NOT_RUN, "leaving")
             return
+        wait_ns = admission.wait_ns(world, request, now_ns)
+        if wait_ns:
+            retry_ms = min(wait_ns / NS_PER_MS, _MAX_RETRY_AFTER_MS)
+            self._refuse(
+                world,
+                arrived,
+                ErrorKind.NOT_RUN,
+                "rate limit",
+                math.ceil(retry_ms),
+            )
+            return
+        admission.admit(world, request)
         world.requests[request.request_id] = request
         world.request_id_by_client[arrived.client_id] = request.request_id
         relaying.relay_remote_parts(world, request, self._chooser, now_ns)
@@ -152,13 +168,13 @@
         arrived: ArrivedRequest,
         error_kind: ErrorKind,
         detail: str,
+        retry_ms: int = _RETRY_AFTER_MS,
     ) -> None:
         world.counters.refused += 1
         is_leaving = world.this_node.phase is NodePhase.LEAVING
-        retry_ms = 0
         # While this node leaves, another one can take the request at once.
-        if error_kind is ErrorKind.NOT_RUN and not is_leaving:
-            retry_ms = _RETRY_AFTER_MS
+        if error_kind is not ErrorKind.NOT_RUN or is_leaving:
+            retry_ms = 0
         world.log(
             "request_refused",
             request=arrived.client_request_id,
--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -2,14 +2,15 @@
 
 import abc
 import heapq
-import math
 from http import HTTPStatus
 
 from snipesaddle._internal.systems.forwarding import (
+    admission,
     attempts,
     containment,
     deadlines,
     departures,
+    rate_limits,
     wakeups,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -95,9 +96,7 @@
         self, world: ForwardWorld, request: Request, now_ns: int
     ) -> Command | None:
         total = len(request.parts)
-        min_answered = max(
-            1, math.ceil(request.route.min_coverage * total - 1e-9)
-        )
+        min_answered = admission.min_answered_parts(request.route, total)
         has_coverage = request.answered_parts >= min_answered
         missing = total - request.answered_parts
         request.earliest_partial_ns = deadlines.earliest_partial_ns(
@@ -177,6 +176,7 @@
             signatures=tuple(signatures),
             more=more,
             leaving=departures.among_tried(world, request),
+            limits=rate_limits.among_tried(world, request),
         )
         return SendToNode(origin.peer_address, reply)
 
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -204,6 +204,7 @@
         connections.close_idle(world, endpoint)
         departures.forget_later(world, endpoint.endpoint_id, now_ns)
         del world.endpoints[endpoint.endpoint_id]
+        world.limited_endpoint_ids.pop(endpoint.endpoint_id, None)
         pool = world.pool(endpoint.entry.service)
         pool.endpoints.remove(endpoint)
         world.freed_services[endpoint.entry.service] = None
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -64,6 +64,13 @@
     world.dirty_requests[request.request_id] = None
 
 
+def is_usable(world: ForwardWorld, endpoint: Endpoint, now_ns: int) -> bool:
+    """Returns whether an endpoint may be sent one more attempt now."""
+    return load_balancing.is_usable(endpoint, now_ns) and rate_limits.allows(
+        world, endpoint, now_ns
+    )
+
+
 def untried_endpoints(
     world: ForwardWorld, part: Part, now_ns: int
 ) -> list[Endpoint]:
@@ -75,7 +82,7 @@
         endpoint
         for endpoint in pool.endpoints
         if endpoint.endpoint_id not in part.tried
-        and load_balancing.is_usable(endpoint, now_ns)
+        and is_usable(world, endpoint, now_ns)
     ]
 
 
@@ -96,7 +103,7 @@
     permitted = [
         endpoint
         for endpoint in pool.endpoints
-        if load_balancing.is_usable(endpoint, now_ns)
+        if is_usable(world, endpoint, now_ns)
         and (any_permitted or endpoint.endpoint_id in part.run_endpoint_ids)
     ]
     untried = [
@@ -153,6 +160,7 @@
     part.tried.append(endpoint.endpoint_id)
     part.state = PartState.RUNNING
     endpoint.in_flight += 1
+    rate_limits.take(world, endpoint, now_ns)
     world.counters.attempts += 1
     if connection.state is not ConnectionState.OPENING:
         send_attempt(world, request, attempt, endpoint, now_ns)
@@ -174,7 +182,6 @@
     part.run_endpoint_ids.append(endpoint.endpoint_id)
     part.send_count += 1
     load_balancing.record_sent(endpoint, now_ns)
-    rate_limits.record_sent(endpoint)
     left_ms = (request.deadline_ns - now_ns) // NS_PER_MS
     world.emit(
         SendAttempt(
@@ -216,6 +223,20 @@
     return int(max(min(delay_ns, latest_ns), _MIN_HEDGE_DELAY_NS))
 
 
+def _no_endpoint_cause(
+    world: ForwardWorld, part: Part, now_ns: int
+) -> MissingCause:
+    pool = world.pools.get(part.service)
+    is_limited = pool is not None and any(
+        load_balancing.is_usable(endpoint, now_ns)
+        and not rate_limits.allows(world, endpoint, now_ns)
+        for endpoint in pool.endpoints
+    )
+    if is_limited:
+        return MissingCause.RATE_LIMIT
+    return MissingCause.NO_ENDPOINT
+
+
 class PlacementSystem(TickSystem[ForwardWorld]):
     """Places pending parts, and parts that wait for a connection."""
 
@@ -226,6 +247,7 @@
         for key in world.timers.pop_due(TimerKind.PART_RETRY, now_ns):
             assert isinstance(key, tuple)
             world.pending_parts.append(key)
+        world.admitted_parts.clear()
         self._requeue_waiting(world)
         while world.pending_parts:
             part_key = world.pending_parts.popleft()
@@ -255,7 +277,8 @@
         part = request.parts[index]
         permitted = permitted_endpoints(world, request, part, now_ns)
         if not permitted:
-            mark_missing(world, request, part, MissingCause.NO_ENDPOINT)
+            cause = _no_endpoint_cause(world, part, now_ns)
+            mark_missing(world, request, part, cause)
             return
         connectable = [
             endpoint
--- a/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
@@ -11,6 +11,7 @@
     containment,
     departures,
     placement,
+    rate_limits,
     relaying,
     retries,
     wakeups,
@@ -95,6 +96,7 @@
         self, world: ForwardWorld, reply: RelayReply, now_ns: int
     ) -> None:
         departures.record_told(world, reply.leaving, now_ns)
+        rate_limits.record_told(world, reply.limits, now_ns)
         relay = world.relays.get(reply.relay_id)
         request = world.requests.get(relay.request_id) if relay else None
         if relay is None or request is None:
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -105,7 +105,8 @@
         if not untried:
             continue
         best = chooser.choose(world, untried, request.route, now_ns)
-        if best.entry.zone == world.this_node.zone:
+        # This node's share of a rate limit is for its own calls.
+        if best.entry.zone == world.this_node.zone or best.rate_limit:
             continue
         zones = {endpoint.entry.zone for endpoint in untried}
         if world.this_node.zone in zones:
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -41,13 +41,17 @@
     Attributes:
       max_requests_per_s: what it takes from all nodes together.
       named_ns: when an answer last named it.
-      sends: attempts that this node has sent to it since it was first named.
-      first_named_ns: when it was first named.
+      first_named_ns: when an answer first named it.
+      refilled_ns: when tokens were last added.
+      tokens: how many attempts this node may send now.
+      sends: attempts that this node has sent since it was first named.
     """
 
     max_requests_per_s: float
     named_ns: int
     first_named_ns: int
+    refilled_ns: int
+    tokens: float = 0.0
     sends: int = 0
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -75,6 +75,19 @@
     recovered_ago_ms: int
 
 
+class EndpointLimit(msgspec.Struct, frozen=True, array_like=True):
+    """A rate limit that an endpoint has named in an answer.
+
+    Attributes:
+      born_unix_ms: when the endpoint started, as in its registration.
+      max_requests_per_s: what it takes from all nodes together.
+    """
+
+    endpoint_id: str
+    born_unix_ms: int
+    max_requests_per_s: float
+
+
 class RelayAsk(msgspec.Struct, frozen=True, array_like=True):
     """Asks a node to gather parts of a request from its own zone.
 
@@ -118,6 +131,7 @@
         no answer yet or was in an earlier reply.
       more: another reply follows.
       leaving: endpoints of these parts that have said that they leave.
+      limits: rate limits that endpoints of these parts have named.
     """
 
     relay_id: int
@@ -125,6 +139,7 @@
     signatures: tuple[bytes, ...]
     more: bool = False
     leaving: tuple[EndpointEntry, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
 
 
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True):
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -81,6 +81,7 @@
     REFUSED = "refused"
     FAILED = "failed"
     BUDGET = "budget"
+    RATE_LIMIT = "rate_limit"
     RELAY = "relay"
 
 
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -108,6 +108,10 @@
         it contains all older changes from the store.
       leaving_entries: the registrations of the endpoints that have said that
         they leave, by endpoint id; kept for some time after their removal.
+      limited_endpoint_ids: the endpoints that name a rate limit; a dictionary
+        keeps their order.
+      admitted_parts: how many parts of a service were admitted in this tick
+        and are not placed yet.
       request_id_by_client: the open request of each client.
       request_id_by_origin: the requests that other nodes relayed to this one.
       answered_attempts: attempts answered in this tick.
@@ -145,6 +149,8 @@
     endpoints_revision: int = 0
     peer_list_revision: int = 0
     leaving_entries: dict[str, EndpointEntry] = field(default_factory=dict)
+    limited_endpoint_ids: dict[str, None] = field(default_factory=dict)
+    admitted_parts: dict[str, int] = field(default_factory=dict)
     pools: dict[str, ServicePool] = field(default_factory=dict)
     connections: dict[int, EndpointConnection] = field(default_factory=dict)
     requests: dict[int, Request] = field(default_factory=dict)
--- a/tests/unit/forwarding/test_rate_limits.py
+++ b/tests/unit/forwarding/test_rate_limits.py
@@ -162,6 +162,20 @@
         assert 0 < error.retry_after_ms <= 1_000
 
 
+def test_the_end_of_a_limit_of_no_requests_is_noticed() -> None:
+    ticks = ForwardTicks([pass_route()], [file_entry("f1")])
+    ticks.ask(b"/file/7")
+    (attempt,) = ticks.taken(commands.SendAttempt)
+    ticks.answer(attempt, max_requests_per_s=0.0)
+    ticks.ask(b"/file/7")
+    assert not ticks.taken(commands.SendAttempt)
+    ticks.advance(4_000)
+    ticks.ask(b"/file/7")
+    (attempt,) = ticks.taken(commands.SendAttempt)
+    ticks.answer(attempt)
+    assert not ticks.world.limited_endpoint_ids
+
+
 def test_a_limit_ends_when_a_later_request_is_answered_without_it() -> None:
     ticks = ForwardTicks([pass_route()], [file_entry("f1")])
     ticks.ask(b"/file/7")
