Set entries aside whose values do not fit into a message or a header

What callers saw (reports of other operators): one odd entry, and nodes stopped following. Here: an entry with a number of more than 64 bits was taken as sound, but no message with it can be encoded, so each batch of changes for the followers and each list for a peer that held it was not sent. Found beside it: an id with a line break would have been written into the header that names the endpoint, which smuggles headers. Cause: types were checked at the border, ranges and lengths were not. Why this fix works: counts and times have bounds, names a length and no control characters, ids only what a header may hold; an item of a page that is no base64 is set aside alone, not with its page.

--- a/src/snipesaddle/platform/records.py
+++ b/src/snipesaddle/platform/records.py
@@ -23,14 +23,31 @@
 )
 from snipesaddle.platform import names
 
-_Positive = Annotated[int, msgspec.Meta(ge=1)]
+_MAX_INT = 2**53
+_MAX_NAME_CHARS = 200
+_DAY_MS = 86_400_000
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_WarmupMs = Annotated[float, msgspec.Meta(ge=0, le=_DAY_MS)]
 _OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
 _PORT = (
     r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])"
 )
-_ADDRESS_PATTERN = rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}$"
+_ADDRESS_PATTERN = rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z"
 _Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS_PATTERN)]
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
+# Without control characters.
+_TEXT_PATTERN = r"^[^\x00-\x1f\x7f]*\Z"
+_Text = Annotated[
+    str, msgspec.Meta(max_length=_MAX_NAME_CHARS, pattern=_TEXT_PATTERN)
+]
+_Name = Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1, max_length=_MAX_NAME_CHARS, pattern=_TEXT_PATTERN
+    ),
+]
+# Ids are sent to endpoints in a header.
+_ENDPOINT_ID_PATTERN = rf"[!-~]{{1,{_MAX_NAME_CHARS}}}"
 
 
 class _EndpointValue(msgspec.Struct):
@@ -45,13 +62,13 @@
 
     service: _Name
     address: _Address
-    zone: str
+    zone: _Text
     version: str
-    concurrency: _Positive
+    concurrency: _Slots
     state: Literal["ready", "draining"]
-    warmup_left_ms: float
-    sequence: int
-    born: int = 0
+    warmup_left_ms: _WarmupMs
+    sequence: _Count
+    born: _Count = 0
 
 
 class _SplitValue(msgspec.Struct):
@@ -158,10 +175,14 @@
     for address in (record.front_address, record.peer_address):
         if not re.fullmatch(_ADDRESS_PATTERN, address):
             raise ValueError(f"{address!r} is not an address")
+    # Other nodes get it in messages, which take no larger numbers.
+    msgspec.msgpack.encode(record)
     return record
 
 
 def _to_endpoint_entry(endpoint_id: str, value: bytes) -> EndpointEntry:
+    if not re.fullmatch(_ENDPOINT_ID_PATTERN, endpoint_id):
+        raise ValueError(f"{endpoint_id!r} is not an endpoint id")
     entry = _decode_endpoint(value)
     return EndpointEntry(
         endpoint_id=endpoint_id,
--- a/src/snipesaddle/platform/store.py
+++ b/src/snipesaddle/platform/store.py
@@ -20,6 +20,7 @@
     Change,
     Item,
     Range,
+    UnreadableItem,
 )
 from snipesaddle.platform import names, records
 
@@ -230,7 +231,11 @@
 
 
 def _decode_item(item: _ItemValue) -> tuple[str, Item]:
-    return records.decode_item(item.key, base64.b64decode(item.value))
+    try:
+        content = base64.b64decode(item.value)
+    except ValueError as error:
+        return records.row_key(item.key), UnreadableItem(str(error))
+    return records.decode_item(item.key, content)
 
 
 def _change(item: _ItemValue) -> Change:
