Try what endpoints say of themselves in generated sessions

A refusal for want of room asks clients back after 20 ms at the earliest. The two tests of a simulated fleet share one way to build it.

--- a/src/snipesaddle/_internal/systems/forwarding/admission.py
+++ b/src/snipesaddle/_internal/systems/forwarding/admission.py
@@ -12,6 +12,7 @@
     load_balancing,
     rate_limits,
 )
+from snipesaddle._internal.tables.forwarding.endpoints import Endpoint
 from snipesaddle._internal.tables.forwarding.requests import Request
 from snipesaddle._internal.tables.forwarding.routes import Route
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
@@ -49,30 +50,32 @@
 
 
 def _service_wait_ns(world: ForwardWorld, service: str, now_ns: int) -> float:
+    """Returns how long until a part of a service can be sent."""
     pool = world.pools.get(service)
-    if pool is None:
-        return math.inf
-    usable = [
+    endpoints = [
         endpoint
-        for endpoint in pool.endpoints
-        if load_balancing.is_usable(endpoint, now_ns)
+        for endpoint in (pool.endpoints if pool else ())
+        if endpoint.accepts_work()
     ]
-    if any(endpoint.rate_limit is None for endpoint in usable):
-        return 0.0
-    spare = sum(
+    room = sum(
         rate_limits.spare_attempts(world, endpoint, now_ns)
-        for endpoint in usable
+        for endpoint in endpoints
+        if load_balancing.is_usable(endpoint, now_ns)
     )
-    if spare > world.admitted_parts.get(service, 0):
+    if room > world.admitted_parts.get(service, 0):
         return 0.0
     waits_ns = [
-        max(
-            endpoint.backoff_until_ns - now_ns,
-            endpoint.ejected_until_ns - now_ns,
-            rate_limits.wait_ns(world, endpoint, now_ns),
-        )
-        for endpoint in pool.endpoints
-        if endpoint.accepts_work()
+        _endpoint_wait_ns(world, endpoint, now_ns) for endpoint in endpoints
     ]
-    # All tokens may be promised to parts that are not placed yet.
+    # What room there is may be promised to parts that are not placed yet.
     return max(1.0, min(waits_ns, default=math.inf))
+
+
+def _endpoint_wait_ns(
+    world: ForwardWorld, endpoint: Endpoint, now_ns: int
+) -> float:
+    return max(
+        endpoint.backoff_until_ns - now_ns,
+        endpoint.ejected_until_ns - now_ns,
+        rate_limits.wait_ns(world, endpoint, now_ns),
+    )
--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -36,6 +36,8 @@
 _REPLY_MARGIN_MS = 8
 # For a request that did not run, for instance while this node is starting.
 _RETRY_AFTER_MS = 300
+# Bounds of the same, for a request that endpoints have no room for.
+_MIN_RETRY_AFTER_MS = 20
 _MAX_RETRY_AFTER_MS = 1_000
 
 
@@ -112,13 +114,12 @@
             return
         wait_ns = admission.wait_ns(world, request, now_ns)
         if wait_ns:
-            retry_ms = min(wait_ns / NS_PER_MS, _MAX_RETRY_AFTER_MS)
             self._refuse(
                 world,
                 arrived,
                 ErrorKind.NOT_RUN,
                 "endpoints want less work",
-                math.ceil(retry_ms),
+                _retry_after_ms(wait_ns),
             )
             return
         admission.admit(world, request)
@@ -190,6 +191,11 @@
         )
 
 
+def _retry_after_ms(wait_ns: float) -> int:
+    wait_ms = min(wait_ns / NS_PER_MS, _MAX_RETRY_AFTER_MS)
+    return max(math.ceil(wait_ms), _MIN_RETRY_AFTER_MS)
+
+
 def _may_finish(world: ForwardWorld, request: Request) -> bool:
     """Returns whether this node can answer a request before it exits.
 
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -66,7 +66,10 @@
 
 def is_usable(world: ForwardWorld, endpoint: Endpoint, now_ns: int) -> bool:
     """Returns whether an endpoint may be sent one more attempt now."""
-    return load_balancing.is_usable(endpoint, now_ns) and rate_limits.allows(
+    if not load_balancing.is_usable(endpoint, now_ns):
+        return False
+    # Tested first, since few endpoints name a limit.
+    return endpoint.rate_limit is None or rate_limits.allows(
         world, endpoint, now_ns
     )
 
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -8,10 +8,10 @@
 import itertools
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from standins.forwarding import HOST
+from standins.forwarding import HOST, entry
 from standins.retry_budget import Arrival, overrun
 
 from snipesaddle._internal.daemon.forward_node import build_world
@@ -32,7 +32,12 @@
     ArrivedRequest,
     EndpointAnswer,
 )
-from snipesaddle._internal.tables.forwarding.routes import RouteConfig
+from snipesaddle._internal.tables.forwarding.routes import (
+    ClientLimits,
+    Route,
+    RouteConfig,
+    ServiceLimits,
+)
 from snipesaddle._internal.tables.forwarding.store_ranges import Change, Range
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
@@ -41,6 +46,8 @@
 _STORE_MS = 4.0
 _LINK_MS = 1.5
 _STARTED_NS = NS_PER_S
+# All nodes serve then, and use their shares of the fleet's limits.
+_START_MS = 12_000
 
 
 @dataclass
@@ -386,3 +393,41 @@
     def budget_overrun(self, service: str) -> float:
         """Returns by how much the worst window exceeds the retry budget."""
         return overrun(self.arrivals[service], self.asked, self._retries)
+
+
+def started_fleet(
+    route: Route,
+    zones: dict[str, str],
+    nodes: Iterable[str],
+    max_connections: int,
+    seed: int,
+) -> SimulatedFleet:
+    """Returns a fleet that serves, with an endpoint a shard in zones a and b.
+
+    Args:
+      route: a route over shards.
+      zones: the zone of each node that may be started.
+      nodes: the nodes to start.
+      max_connections: the connection limit of each endpoint.
+      seed: of all that is random.
+    """
+    config = RouteConfig(
+        version=1,
+        routes=(route,),
+        services={
+            name: ServiceLimits(name, max_connections) for name in route.shards
+        },
+        limits=ClientLimits(),
+        source=b"config",
+    )
+    entries = [
+        entry(f"{name}{zone}", name, zone=zone, address=f"{name}{zone}:1")
+        for name in route.shards
+        for zone in "ab"
+    ]
+    retries = RetrySettings(ratio=0.2, slack=58.0, window_s=10)
+    fleet = SimulatedFleet(config, entries, zones, retries, seed)
+    for name in nodes:
+        fleet.start(name)
+    fleet.advance(_START_MS)
+    return fleet
--- a/tests/unit/forwarding/test_fleet_budget.py
+++ b/tests/unit/forwarding/test_fleet_budget.py
@@ -5,15 +5,8 @@
 import random
 from typing import Any
 
-from standins.forwarding import entry, merge_route
-from standins.simulated_fleet import Faults, SimulatedFleet
-
-from snipesaddle._internal.models.forwarding import RetrySettings
-from snipesaddle._internal.tables.forwarding.routes import (
-    ClientLimits,
-    RouteConfig,
-    ServiceLimits,
-)
+from standins.forwarding import merge_route
+from standins.simulated_fleet import Faults, SimulatedFleet, started_fleet
 
 SEEDS = (1, 2)
 # More seeds by hand: FLEET_SEEDS=50.
@@ -29,35 +22,11 @@
 WAVE = Faults(refused_ratio=0.4, lost_ratio=0.3, slow_ratio=0.3)
 
 
-def started_fleet(
+def budget_fleet(
     seed: int, nodes: tuple[str, ...], **changes: Any
 ) -> SimulatedFleet:
     route = merge_route(SHARDS, **changes)
-    config = RouteConfig(
-        version=1,
-        routes=(route,),
-        services={
-            name: ServiceLimits(name, CONNECTIONS) for name in route.shards
-        },
-        limits=ClientLimits(),
-        source=b"config",
-    )
-    entries = [
-        entry(
-            f"{service}{zone}",
-            service,
-            zone=zone,
-            address=f"{service}{zone}:1",
-        )
-        for service in route.shards
-        for zone in "ab"
-    ]
-    retries = RetrySettings(ratio=0.2, slack=58.0, window_s=10)
-    fleet = SimulatedFleet(config, entries, ZONES, retries, seed)
-    for name in nodes:
-        fleet.start(name)
-    fleet.advance(12_000)
-    return fleet
+    return started_fleet(route, ZONES, nodes, CONNECTIONS, seed)
 
 
 def load(fleet: SimulatedFleet, ms: float) -> None:
@@ -91,7 +60,7 @@
 
 def test_running_nodes_use_the_budget_and_stay_within_it() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = Faults(refused_ratio=0.03, lost_ratio=0.03)
         load(fleet, 12_000)
         assert fleet.answers["whole"] > 0.95 * len(fleet.asked)
@@ -103,7 +72,7 @@
 # Each run of a node spent its part of the slack anew.
 def test_restarts_of_all_nodes_do_not_renew_the_retry_budget() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = dataclasses.replace(LOADED)
         load_with_restarts(fleet, starts=4)
         assert worst_overrun(fleet) <= 0
@@ -113,7 +82,7 @@
 def test_a_restart_in_a_wave_of_failures_keeps_to_the_retry_budget() -> None:
     for seed in SEEDS:
         for gap_ms in (0, 1_000):
-            fleet = started_fleet(seed, tuple(ZONES))
+            fleet = budget_fleet(seed, tuple(ZONES))
             load(fleet, 11_000)
             fleet.faults = dataclasses.replace(WAVE)
             load(fleet, 2_000)
@@ -127,7 +96,7 @@
 # A node that had heard of no other one yet spent the budget of the whole fleet.
 def test_one_restart_of_all_nodes_keeps_to_the_retry_budget() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = dataclasses.replace(LOADED)
         load(fleet, 9_000)
         for name in ZONES:
@@ -140,7 +109,7 @@
 # A node that had heard of no other one yet opened the connections of all.
 def test_restarted_nodes_keep_to_the_connection_limit() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = dataclasses.replace(LOADED, slow_ratio=1.0)
         load(fleet, 1_000)
         for name in ZONES:
@@ -153,7 +122,7 @@
 # Nodes that start while the store is down know neither each other nor the past.
 def test_nodes_that_start_without_the_store_keep_to_the_retry_budget() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = dataclasses.replace(LOADED)
         load(fleet, 9_000)
         fleet.faults.store_is_down = True
@@ -169,7 +138,7 @@
     None
 ):
     for seed in SEEDS:
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = dataclasses.replace(LOADED, cut_off=frozenset({"e4"}))
         load(fleet, 20_000)
         assert worst_overrun(fleet) <= 0
@@ -215,7 +184,7 @@
 def test_random_faults_keep_to_the_limits_of_the_fleet() -> None:
     for seed in RANDOM_SEEDS:
         rng = random.Random(seed)
-        fleet = started_fleet(seed, tuple(ZONES))
+        fleet = budget_fleet(seed, tuple(ZONES))
         fleet.faults = Faults(
             refused_ratio=rng.uniform(0.0, 0.3),
             lost_ratio=rng.uniform(0.1, 0.3),
@@ -232,7 +201,7 @@
 def test_nodes_that_start_for_the_first_time_keep_to_the_connection_limit() -> (
     None
 ):
-    fleet = started_fleet(1, ())
+    fleet = budget_fleet(1, ())
     fleet.faults = dataclasses.replace(LOADED, slow_ratio=1.0)
     for name in ZONES:
         fleet.start(name)
@@ -245,7 +214,7 @@
 # Idle connections above a share that has shrunk stayed open.
 def test_a_node_that_joins_keeps_to_the_connection_limit() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed, ("e1",))
+        fleet = budget_fleet(seed, ("e1",))
         ask_at_once(fleet, 60)
         fleet.advance(1_000)
         for name in ("e2", "e3", "e4"):
@@ -258,7 +227,7 @@
 
 # Busy connections above a share that has shrunk stay open until their answer.
 def test_a_fleet_that_grows_under_load_keeps_to_the_connection_limit() -> None:
-    fleet = started_fleet(1, ("e1",))
+    fleet = budget_fleet(1, ("e1",))
     fleet.faults = Faults(slow_ratio=1.0)
     burst(fleet)
     for name in ("e2", "e3", "e4"):
--- a/tests/unit/forwarding/test_fuzz_tables.py
+++ b/tests/unit/forwarding/test_fuzz_tables.py
@@ -50,7 +50,9 @@
         self.ticks.beat("e2", zone="b")
         self.revision = 10
         self.unusable: set[str] = set()
-        self.open: list[commands.SendAttempt] = []
+        self.open: list[tuple[commands.SendAttempt, int]] = []
+        self.leaving: set[tuple[str, int]] = set()
+        self.backoff_until_ms: dict[tuple[str, int], float] = {}
         self.sent: Counter[tuple[int, str]] = Counter()
         self.used: dict[tuple[int, str], set[str]] = {}
         self.pending: dict[int, bytes] = {}
@@ -65,15 +67,18 @@
         for attempt in self.ticks.taken(commands.SendAttempt):
             assert attempt.endpoint_id not in self.unusable
             client = attempt.request.arrived.client_id
-            service = self.ticks.world.endpoints[
-                attempt.endpoint_id
-            ].entry.service
+            entry = self.ticks.world.endpoints[attempt.endpoint_id].entry
+            service = entry.service
+            instance = (attempt.endpoint_id, entry.born_unix_ms)
+            assert instance not in self.leaving
+            backoff_until_ms = self.backoff_until_ms.get(instance, 0.0)
+            assert self.ticks.now_ms >= backoff_until_ms
             assert client not in self.refused
             self.sent[client, service] += 1
             self.used.setdefault((client, service), set()).add(
                 attempt.endpoint_id
             )
-            self.open.append(attempt)
+            self.open.append((attempt, entry.born_unix_ms))
         for kind in (commands.SendEndpointAnswer, commands.SendMergedAnswer):
             for answer in self.ticks.taken(kind):
                 self.answers[answer.client_id] += 1
@@ -92,9 +97,9 @@
         self.collect()
 
     @precondition(lambda self: self.open)
-    @rule(which=st.integers(0, 50), how=st.integers(0, 4))
+    @rule(which=st.integers(0, 50), how=st.integers(0, 7))
     def end_attempt(self, which: int, how: int) -> None:
-        attempt = self.open.pop(which % len(self.open))
+        attempt, born_unix_ms = self.open.pop(which % len(self.open))
         if how == 0:
             self.ticks.lose(attempt)
         elif how == 1:
@@ -102,10 +107,46 @@
             self.ticks.answer(attempt, status=503, not_run=True, signature=b"")
         elif how == 2:
             self.ticks.answer(attempt, status=500, signature=b"s")
+        elif how == 3:
+            self.answer_leaving(attempt, born_unix_ms)
+        elif how == 4:
+            self.ticks.answer(attempt, max_requests_per_s=which / 10)
+        elif how == 5:
+            self.refuse_for(attempt, born_unix_ms, 20 * which)
         else:
             self.ticks.answer(attempt, record_bytes(which))
         self.collect()
 
+    def answer_leaving(
+        self, attempt: commands.SendAttempt, born_unix_ms: int
+    ) -> None:
+        # An answer on a connection that the node has closed tells it nothing.
+        if attempt.attempt_id in self.ticks.world.attempts:
+            self.leaving.add((attempt.endpoint_id, born_unix_ms))
+        self.ticks.answer(attempt, leaving=True)
+
+    def refuse_for(
+        self, attempt: commands.SendAttempt, born_unix_ms: int, ms: int
+    ) -> None:
+        instance = (attempt.endpoint_id, born_unix_ms)
+        endpoint = self.ticks.world.endpoints.get(attempt.endpoint_id)
+        is_current = endpoint is not None and instance == (
+            endpoint.endpoint_id,
+            endpoint.entry.born_unix_ms,
+        )
+        if attempt.attempt_id in self.ticks.world.attempts and is_current:
+            self.backoff_until_ms[instance] = max(
+                self.ticks.now_ms + ms, self.backoff_until_ms.get(instance, 0.0)
+            )
+        self.forget(attempt.request.arrived.client_id, attempt)
+        self.ticks.answer(
+            attempt,
+            status=503,
+            not_run=True,
+            signature=b"",
+            retry_after_ms=ms,
+        )
+
     def forget(self, client: int, attempt: commands.SendAttempt) -> None:
         for (other, service), used in self.used.items():
             if other == client and attempt.endpoint_id in used:
@@ -161,6 +202,12 @@
     def nothing_fails_unexpectedly(self) -> None:
         assert self.ticks.world.counters.unexpected_errors == 0
 
+    @invariant()
+    def counts_are_not_negative(self) -> None:
+        for endpoint in self.ticks.world.endpoints.values():
+            assert endpoint.in_flight >= 0
+            assert endpoint.connection_count >= 0
+
     @invariant()
     def orders_run_at_most_once(self) -> None:
         for client, path in self.pending.items():
--- a/tests/unit/forwarding/test_rate_limits.py
+++ b/tests/unit/forwarding/test_rate_limits.py
@@ -7,50 +7,28 @@
 import pytest
 from standins.forwarding import ForwardTicks, entry, merge_route, pass_route
 from standins.rate_limit import limit_overrun
-from standins.simulated_fleet import SimulatedFleet
+from standins.simulated_fleet import SimulatedFleet, started_fleet
 
-from snipesaddle._internal.models.forwarding import RetrySettings
 from snipesaddle._internal.tables.forwarding import commands, messages
 from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
 from snipesaddle._internal.tables.forwarding.messages import (
     RelayAsk,
     RelayReply,
 )
-from snipesaddle._internal.tables.forwarding.routes import (
-    ClientLimits,
-    RouteConfig,
-    ServiceLimits,
-)
 
 SEEDS = (1, 2, 3)
 SHARDS = 6
 MIN_SHARDS = 5
+CONNECTIONS = 40
 ZONES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
 LIMIT = 8.0
 REQUEST_GAP_MS = 22.0
 LOAD_MS = 20_000
 
 
-def started_fleet(seed: int) -> SimulatedFleet:
+def limited_fleet(seed: int) -> SimulatedFleet:
     route = merge_route(SHARDS, min_coverage=MIN_SHARDS / SHARDS)
-    config = RouteConfig(
-        version=1,
-        routes=(route,),
-        services={name: ServiceLimits(name, 40) for name in route.shards},
-        limits=ClientLimits(),
-        source=b"config",
-    )
-    entries = [
-        entry(f"{name}{zone}", name, zone=zone, address=f"{name}{zone}:1")
-        for name in route.shards
-        for zone in "ab"
-    ]
-    retries = RetrySettings(ratio=0.2, slack=58.0, window_s=10)
-    fleet = SimulatedFleet(config, entries, ZONES, retries, seed)
-    for name in ZONES:
-        fleet.start(name)
-    fleet.advance(12_000)
-    return fleet
+    return started_fleet(route, ZONES, ZONES, CONNECTIONS, seed)
 
 
 def load(fleet: SimulatedFleet, ms: float) -> None:
@@ -79,7 +57,7 @@
 # No node read the limit, and the nodes that relay to others never saw it.
 def test_an_endpoint_gets_no_more_than_the_limit_that_it_names() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed)
+        fleet = limited_fleet(seed)
         named_ns = limit_endpoints(fleet, "s0a", "s1b")
         load(fleet, LOAD_MS)
         for endpoint_id in ("s0a", "s1b"):
@@ -89,7 +67,7 @@
 
 def test_restarted_nodes_keep_to_the_limit_that_an_endpoint_names() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed)
+        fleet = limited_fleet(seed)
         named_ns = limit_endpoints(fleet, "s0a", "s1b")
         for name in ZONES:
             load(fleet, 4_000)
@@ -102,7 +80,7 @@
 # Shards that admit different requests leave none of them with enough parts.
 def test_shards_that_all_name_a_limit_admit_the_same_requests() -> None:
     for seed in SEEDS:
-        fleet = started_fleet(seed)
+        fleet = limited_fleet(seed)
         limited = [f"s{number}{zone}" for number in range(3) for zone in "ab"]
         named_ns = limit_endpoints(fleet, *limited)
         load(fleet, 4_000)
