Have leafs say in answers that they leave, in the soak

Half a second after a process has passed on such an answer, no request that a client sent it later may reach that leaf.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,10 +1,10 @@
 """A soak of the forwarding tier: real processes under random faults by seed.
 
 Nodes run as processes; leafs, the store and the proxies before them are
-stand-ins here. Faults come in two lanes that overlap: nodes are killed,
-paused, stopped and started; connections are cut, silenced, delayed, or lose
-what comes back; the store goes away. Promises are checked from what clients
-and leafs see. Exit status 1 if one was broken.
+stand-ins here. Faults come in lanes that overlap: nodes are killed, paused,
+stopped and started; connections are cut, silenced, delayed, or lose what comes
+back; the store goes away; leafs say in their answers that they leave. Promises
+are checked from what clients and leafs see. Exit status 1 if one was broken.
 """
 
 import argparse
@@ -50,6 +50,8 @@
     "directory": {"keep_ms": 300},
     "retries": msgspec.to_builtins(_RETRIES),
 }
+# From then on a node sends nothing to a leaf whose answer said it leaves.
+_LEFT_S = 0.5
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -66,6 +68,10 @@
         super().__post_init__()
         self.arrivals: list[Arrival] = []
         self.refused_ratio = 0.0
+        self.born = 1
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        return super().entry(state) | {"born": self.born}
 
     def on_request(self, client_id: int, request: HttpRequest) -> None:
         key = request.header(b"request-id") or b""
@@ -91,6 +97,9 @@
 
     Attributes:
       asked_ns: when each request was sent, by its id.
+      process_of: the process that each request was sent to, by its id.
+      told_ns: when a process first passed on an answer of a leaf that leaves,
+        by process, leaf and the leaf's start.
       probes: for each process, when a route of a version was asked for and
         answered, and the version.
     """
@@ -101,6 +110,8 @@
     broken: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     asked_ns: dict[bytes, int] = field(default_factory=dict)
+    process_of: dict[bytes, int] = field(default_factory=dict)
+    told_ns: dict[tuple[int, str, int], int] = field(default_factory=dict)
     probes: dict[int, list[tuple[float, float, int]]] = field(
         default_factory=lambda: collections.defaultdict(list)
     )
@@ -135,6 +146,7 @@
                     work.start_soon(self._client, random.Random(self._draw()))
                 for _ in range(_LANES):
                     work.start_soon(self._lane, random.Random(self._draw()))
+                work.start_soon(self._departures, random.Random(self._draw()))
             await self._settle()
             self._check()
             group.cancel_scope.cancel()
@@ -184,7 +196,9 @@
             await anyio.sleep(rng.uniform(0, 0.03))
 
     async def _ask(self, name: str, path: str, key: str) -> Any:
+        process = self.site.nodes[name].pid
         self.seen.asked_ns[key.encode()] = time.monotonic_ns()
+        self.seen.process_of[key.encode()] = process
         try:
             reply = await self.site.ask(name, path, headers={"Request-Id": key})
         except httpx.HTTPError as error:
@@ -193,8 +207,20 @@
         self.seen.outcomes[f"{path.split('/')[1][:5]} {reply.status_code}"] += 1
         if reply.status_code in _NOT_RUN:
             self.seen.refused.add(key)
+        self._note_leaving(process, reply.headers)
         return reply
 
+    def _note_leaving(self, process: int, headers: httpx.Headers) -> None:
+        stamps = headers.get("part-stamps") or headers.get("server-stamp", "")
+        told = {stamp.split(":")[1] for stamp in stamps.split(", ") if stamp}
+        for leaf in self._soak_leafs():
+            if leaf.leaf_id in told and leaf.says_leaving:
+                start = (process, leaf.leaf_id, leaf.born)
+                self.seen.told_ns.setdefault(start, time.monotonic_ns())
+
+    def _soak_leafs(self) -> list[SoakLeaf]:
+        return [leaf for leaf in self.site.leafs if isinstance(leaf, SoakLeaf)]
+
     async def _sweep(self, name: str, key: str, rng: random.Random) -> None:
         del rng
         reply = await self._ask(name, "/sweep/x", key)
@@ -255,6 +281,11 @@
             await rng.choice(faults)(rng)
             await anyio.sleep(rng.uniform(0.05, 0.4))
 
+    async def _departures(self, rng: random.Random) -> None:
+        while time.monotonic() < self.until:
+            await anyio.sleep(rng.uniform(0.2, 1.0))
+            await self._leave(rng)
+
     def _take(self, rng: random.Random) -> str | None:
         free = [name for name in _NODES if name not in self.busy]
         if len(free) < 2:
@@ -324,9 +355,7 @@
         services = rng.choice((*_SETS, ("file",)))
         self.faults.append(f"leafs of {services} are full")
         leafs = [
-            leaf
-            for leaf in self.site.leafs
-            if isinstance(leaf, SoakLeaf) and leaf.service in services
+            leaf for leaf in self._soak_leafs() if leaf.service in services
         ]
         for leaf in leafs:
             leaf.refused_ratio = rng.uniform(0.4, 0.9)
@@ -334,6 +363,29 @@
         for leaf in leafs:
             leaf.refused_ratio = 0.0
 
+    async def _leave(self, rng: random.Random) -> None:
+        """Has a leaf say in its answers alone that it leaves, then restart."""
+        leaf = rng.choice(self._soak_leafs())
+        self.faults.append(f"{leaf.leaf_id} leaves")
+        leaf.says_leaving = True
+        await anyio.sleep(rng.uniform(0.5, 3.0))
+        self._check_left(leaf)
+        leaf.says_leaving = False
+        leaf.born += 1
+        self.site.store.put(f"servers/{leaf.leaf_id}", leaf.entry())
+
+    def _check_left(self, leaf: SoakLeaf) -> None:
+        for arrival in leaf.arrivals:
+            process = self.seen.process_of[arrival.request_id]
+            start = (process, leaf.leaf_id, leaf.born)
+            told_ns = self.seen.told_ns.get(start)
+            if told_ns is None:
+                continue
+            asked_ns = self.seen.asked_ns[arrival.request_id]
+            if asked_ns > told_ns + _LEFT_S * 1_000_000_000:
+                key = arrival.request_id.decode()
+                self._broken(key, f"reached {leaf.leaf_id}, which leaves")
+
     async def _store_away(self, rng: random.Random) -> None:
         self.faults.append("store away")
         self.site.store.down = True
@@ -406,8 +458,8 @@
         arrivals = {
             service: [
                 arrival
-                for leaf in self.site.leafs
-                if isinstance(leaf, SoakLeaf) and leaf.service == service
+                for leaf in self._soak_leafs()
+                if leaf.service == service
                 for arrival in leaf.arrivals
             ]
             for service in services
