--- a/src/snipesaddle/_internal/systems/forwarding/load_balancing.py
+++ b/src/snipesaddle/_internal/systems/forwarding/load_balancing.py
@@ -170,7 +170,7 @@
 
 
 def wants_work(endpoint: Endpoint, now_ns: int) -> bool:
-    """Returns whether an endpoint has not asked to be spared new work."""
+    """Returns whether an endpoint takes new work at this time."""
     return endpoint.accepts_work() and now_ns >= endpoint.backoff_until_ns
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/rate_limits.py
+++ b/src/snipesaddle/_internal/systems/forwarding/rate_limits.py
@@ -1,4 +1,4 @@
-"""Rate limits that endpoints in need name in their answers.
+"""Rate limits that overloaded endpoints name in their answers.
 
 A limit is meant for all nodes together, so each node uses its share of it, as a
 token bucket. Answers the load pattern of endpoints that can take less than they
