--- a/tests/unit/forwarding/test_rate_limits.py
+++ b/tests/unit/forwarding/test_rate_limits.py
@@ -1,13 +1,14 @@
 """Endpoints that name in their answers how many requests they take."""
 
 import dataclasses
+import os
 import random
 from collections import Counter
 
 import pytest
 from standins.forwarding import ForwardTicks, entry, merge_route, pass_route
 from standins.rate_limit import limit_overrun
-from standins.simulated_fleet import SimulatedFleet, started_fleet
+from standins.simulated_fleet import Faults, SimulatedFleet, started_fleet
 
 from snipesaddle._internal.tables.forwarding import commands, messages
 from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
@@ -17,6 +18,8 @@
 )
 
 SEEDS = (1, 2, 3)
+# More seeds by hand: FLEET_SEEDS=50.
+RANDOM_SEEDS = range(1, 1 + int(os.environ.get("FLEET_SEEDS", "2")))
 SHARDS = 6
 MIN_SHARDS = 5
 CONNECTIONS = 40
@@ -26,32 +29,41 @@
 LOAD_MS = 20_000
 
 
-def limited_fleet(seed: int) -> SimulatedFleet:
+def limited_fleet(seed: int, zones: dict[str, str] = ZONES) -> SimulatedFleet:
     route = merge_route(SHARDS, min_coverage=MIN_SHARDS / SHARDS)
-    return started_fleet(route, ZONES, ZONES, CONNECTIONS, seed)
+    return started_fleet(route, zones, zones, CONNECTIONS, seed)
 
 
-def load(fleet: SimulatedFleet, ms: float) -> None:
+def load(
+    fleet: SimulatedFleet, ms: float, mean_gap_ms: float = REQUEST_GAP_MS
+) -> None:
     rng = random.Random(7)
     elapsed_ms = 0.0
     while elapsed_ms < ms:
-        gap_ms = rng.expovariate(1 / REQUEST_GAP_MS)
+        gap_ms = rng.expovariate(1 / mean_gap_ms)
         fleet.ask(b"/sweep/x")
         fleet.advance(gap_ms)
         elapsed_ms += gap_ms
 
 
-def limit_endpoints(fleet: SimulatedFleet, *endpoint_ids: str) -> int:
+def limit_endpoints(
+    fleet: SimulatedFleet, *endpoint_ids: str, limit: float = LIMIT
+) -> int:
     """Has endpoints name a limit from now on; returns the time."""
     load(fleet, 3_000)
     fleet.faults = dataclasses.replace(
-        fleet.faults, rate_limits=dict.fromkeys(endpoint_ids, LIMIT)
+        fleet.faults, rate_limits=dict.fromkeys(endpoint_ids, limit)
     )
     return fleet.now_ns
 
 
-def overrun(fleet: SimulatedFleet, endpoint_id: str, named_ns: int) -> float:
-    return limit_overrun(fleet.arrival_times[endpoint_id], named_ns, LIMIT)
+def overrun(
+    fleet: SimulatedFleet,
+    endpoint_id: str,
+    named_ns: int,
+    limit: float = LIMIT,
+) -> float:
+    return limit_overrun(fleet.arrival_times[endpoint_id], named_ns, limit)
 
 
 # No node read the limit, and the nodes that relay to others never saw it.
@@ -100,6 +112,38 @@
         assert not served["timeout"]
 
 
+def random_faults(rng: random.Random) -> Faults:
+    return Faults(
+        refused_ratio=rng.choice([0.0, 0.1]),
+        lost_ratio=rng.choice([0.0, 0.05]),
+        slow_ratio=rng.choice([0.0, 0.05]),
+        message_loss_ratio=rng.choice([0.0, 0.2]),
+    )
+
+
+def test_random_fleets_keep_to_the_limits_that_endpoints_name() -> None:
+    for seed in RANDOM_SEEDS:
+        rng = random.Random(seed)
+        size = rng.choice([2, 4, 8, 12])
+        zones = {f"e{number}": "ab"[number % 2] for number in range(size)}
+        limit = rng.choice([0.5, 2.0, 4.0, 10.0, 20.0])
+        mean_gap_ms = rng.choice([5.0, 22.0, 60.0])
+        copies = [
+            f"s{number}{zone}" for number in range(SHARDS) for zone in "ab"
+        ]
+        limited = copies[: rng.choice([2, 4, len(copies)])]
+        fleet = limited_fleet(seed, zones)
+        fleet.faults = random_faults(rng)
+        named_ns = limit_endpoints(fleet, *limited, limit=limit)
+        for _ in range(5):
+            load(fleet, 4_000, mean_gap_ms)
+            fleet.advance(rng.choice([0, 0, 2_000, 8_000]))
+            if rng.random() < 0.3:
+                fleet.restart(rng.choice(list(zones)), 400)
+        for endpoint_id in limited:
+            assert overrun(fleet, endpoint_id, named_ns, limit) <= 0, seed
+
+
 def file_entry(endpoint_id: str, **changes: object) -> EndpointEntry:
     return entry(endpoint_id, "file", **changes)
 
