Build the relaying node of tests in one place

Two files of tests built the same node and picked messages to other nodes in the same way; both now stand with the other stand-ins.

--- a/tests/standins/forwarding.py
+++ b/tests/standins/forwarding.py
@@ -38,6 +38,7 @@
 # The node has been up for so long.
 _UP_NS = 60_000 * NS_PER_MS
 CommandT = TypeVar("CommandT")
+MessageT = TypeVar("MessageT")
 
 
 def pass_route(**changes: Any) -> Route:
@@ -156,6 +157,11 @@
         self.commands = [c for c in self.commands if not isinstance(c, kind)]
         return found
 
+    def sent_to_nodes(self, kind: type[MessageT]) -> list[MessageT]:
+        """Removes the messages to nodes; returns those of one type."""
+        messages = [c.message for c in self.taken(commands.SendToNode)]
+        return [message for message in messages if isinstance(message, kind)]
+
     def publish(self, version: int, routes: list[Route]) -> None:
         services = {name for route in routes for name in route.services}
         config = RouteConfig(
@@ -245,3 +251,13 @@
     def lose(self, attempt: commands.SendAttempt) -> None:
         """Resets the connection of an attempt."""
         self.tick(events.ConnectionEnded(attempt.connection_id, True, "reset"))
+
+
+def relaying_node() -> ForwardTicks:
+    """Returns a node that has shards s1 to s3 gathered in zone b."""
+    entries = [entry("s0a", "s0")]
+    for number in range(1, 4):
+        entries.append(entry(f"s{number}b", f"s{number}", zone="b"))
+    ticks = ForwardTicks([merge_route(4)], entries)
+    ticks.beat("e2", zone="b")
+    return ticks
--- a/tests/unit/forwarding/test_leaving_endpoints.py
+++ b/tests/unit/forwarding/test_leaving_endpoints.py
@@ -1,6 +1,11 @@
 """Endpoints that say that they shut down, in an answer or a registration."""
 
-from standins.forwarding import ForwardTicks, entry, merge_route, pass_route
+from standins.forwarding import (
+    ForwardTicks,
+    entry,
+    pass_route,
+    relaying_node,
+)
 
 from snipesaddle._internal.tables.forwarding import commands
 from snipesaddle._internal.tables.forwarding.endpoints import (
@@ -160,29 +165,15 @@
     assert not ticks.world.leaving_entries
 
 
-def zoned_node() -> ForwardTicks:
-    """Returns a node that has shards s1 to s3 gathered in zone b."""
-    entries = [entry("s0a", "s0")]
-    for number in range(1, 4):
-        entries.append(entry(f"s{number}b", f"s{number}", zone="b"))
-    ticks = ForwardTicks([merge_route(4)], entries)
-    ticks.beat("e2", zone="b")
-    return ticks
-
-
 def relayed(ticks: ForwardTicks) -> RelayAsk:
     ticks.ask(b"/sweep/x")
-    (ask,) = [
-        command.message
-        for command in ticks.taken(commands.SendToNode)
-        if isinstance(command.message, RelayAsk)
-    ]
+    (ask,) = ticks.sent_to_nodes(RelayAsk)
     return ask
 
 
 # The asking node passes on the answer, but another node has got it.
 def test_the_node_that_passes_a_relayed_answer_on_stops_as_well() -> None:
-    ticks = zoned_node()
+    ticks = relaying_node()
     ask = relayed(ticks)
     leaving = entry("s1b", "s1", zone="b")
     reply = RelayReply(
@@ -194,16 +185,12 @@
     assert "s1b" not in {
         attempt.endpoint_id for attempt in ticks.taken(commands.SendAttempt)
     }
-    asks = [
-        command.message
-        for command in ticks.taken(commands.SendToNode)
-        if isinstance(command.message, RelayAsk)
-    ]
+    asks = ticks.sent_to_nodes(RelayAsk)
     assert not any("s1" in ask.services for ask in asks)
 
 
 def test_a_node_tells_in_a_relay_reply_which_endpoints_leave() -> None:
-    ticks = zoned_node()
+    ticks = relaying_node()
     ask = relayed(ticks)
     gathering = ForwardTicks(
         [], [entry("s1b", "s1", zone="b"), entry("s2b", "s2", zone="b")]
@@ -214,11 +201,7 @@
     for attempt in gathering.taken(commands.SendAttempt):
         gathering.answer(attempt, leaving=attempt.endpoint_id == "s1b")
     gathering.advance(200)
-    replies = [
-        command.message
-        for command in gathering.taken(commands.SendToNode)
-        if isinstance(command.message, RelayReply)
-    ]
+    replies = gathering.sent_to_nodes(RelayReply)
     (told,) = {found for reply in replies for found in reply.leaving}
     assert told.endpoint_id == "s1b"
 
--- a/tests/unit/forwarding/test_rate_limits.py
+++ b/tests/unit/forwarding/test_rate_limits.py
@@ -5,8 +5,13 @@
 import random
 from collections import Counter
 
-import pytest
-from standins.forwarding import ForwardTicks, entry, merge_route, pass_route
+from standins.forwarding import (
+    ForwardTicks,
+    entry,
+    merge_route,
+    pass_route,
+    relaying_node,
+)
 from standins.rate_limit import limit_overrun
 from standins.simulated_fleet import Faults, SimulatedFleet, started_fleet
 
@@ -213,31 +218,11 @@
     assert ticks.world.endpoints["f1"].rate_limit is None
 
 
-@pytest.fixture
-def zoned() -> ForwardTicks:
-    """Returns a node that has shards s1 to s3 gathered in zone b."""
-    entries = [entry("s0a", "s0")]
-    for number in range(1, 4):
-        entries.append(entry(f"s{number}b", f"s{number}", zone="b"))
-    ticks = ForwardTicks([merge_route(4)], entries)
-    ticks.beat("e2", zone="b")
-    return ticks
-
-
-def asks(ticks: ForwardTicks) -> list[RelayAsk]:
-    return [
-        command.message
-        for command in ticks.taken(commands.SendToNode)
-        if isinstance(command.message, RelayAsk)
-    ]
-
-
 # The asking node passes on the answer, but another node has got it.
-def test_a_relay_reply_tells_of_the_limits_that_endpoints_name(
-    zoned: ForwardTicks,
-) -> None:
+def test_a_relay_reply_tells_of_the_limits_that_endpoints_name() -> None:
+    zoned = relaying_node()
     zoned.ask(b"/sweep/x")
-    (ask,) = asks(zoned)
+    (ask,) = zoned.sent_to_nodes(RelayAsk)
     gathering = ForwardTicks(
         [],
         [entry(f"s{number}b", f"s{number}", zone="b") for number in (1, 2, 3)],
@@ -247,12 +232,7 @@
     for attempt in gathering.taken(commands.SendAttempt):
         limited = attempt.endpoint_id == "s1b"
         gathering.answer(attempt, max_requests_per_s=LIMIT if limited else None)
-    replies = [
-        command.message
-        for command in gathering.taken(commands.SendToNode)
-        if isinstance(command.message, RelayReply)
-    ]
-    (reply,) = replies
+    (reply,) = gathering.sent_to_nodes(RelayReply)
     assert reply.limits == (messages.EndpointLimit("s1b", 1, LIMIT),)
     zoned.tick(reply)
     limit = zoned.world.endpoints["s1b"].rate_limit
