--- a/review/standins.py
+++ b/review/standins.py
@@ -34,6 +34,7 @@
     "budget_slack": 58,
 }
 _HEAD_END = b"\r\n\r\n"
+_LONGER_THAN_A_CASE_S = 200.0
 
 
 def free_port(ip: str = "127.0.0.1") -> int:
@@ -142,6 +143,8 @@
         self._record = record
         self._history: list[dict[str, Any]] = []
         self._changed = asyncio.Condition()
+        self._heard = asyncio.Event()
+        self._heard.set()
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 10
         self._fronts: list[StoreFront] = []
@@ -161,6 +164,16 @@
             int(port),
         )
 
+    def fall_silent(self) -> None:
+        """Answers no call that arrives from now on, until `speak`.
+
+        A watch that waits is answered afterwards.
+        """
+        self._heard.clear()
+
+    def speak(self) -> None:
+        self._heard.set()
+
     def close(self) -> None:
         for front in self._fronts:
             if front.server is not None:
@@ -219,7 +232,11 @@
         front.writers.add(writer)
         try:
             while (message := await read_message(reader, False)) is not None:
+                if not self._heard.is_set():
+                    # This connection returns nothing further.
+                    await asyncio.sleep(_LONGER_THAN_A_CASE_S)
                 status, body = await self._answer(message)
+                await self._heard.wait()
                 content = json.dumps(body).encode()
                 headers = {"Content-Type": "application/json"}
                 writer.write(encode_response(status, "X", headers, content))
@@ -384,6 +401,7 @@
             writer.write(encode_response(421, "Misdirected", {}, b""))
             return
         self.arrivals.append(arrived)
+        self.record.write(f"server {self.server_id} reads {request_id}")
         if self._held >= self.slots + self._queue:
             self.record.write(f"server {self.server_id} rejects {request_id}")
             writer.write(self.rejection(request_id))
