--- a/review/standins.py
+++ b/review/standins.py
@@ -126,7 +126,7 @@
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def cut(self) -> None:
-        """Resets the connections, and refuses new ones until `heal`."""
+        """Closes the connections, and refuses new ones until `heal`."""
         self.is_cut = True
         assert self.server is not None
         self.server.close()
@@ -359,7 +359,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
 
     def stop(self) -> None:
-        """Ends as a killed process does: connections are reset."""
+        """Ends as a killed process does, with its connections."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
