--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,125 +1,80 @@
-"""A second copy of a rejection counts as the answer to the next attempt.
+"""Nodes keep an old config after a silent outage of the store.
 
-A service of two servers takes orders, which may run once only. Each server has
-three slots and a queue of two. Two nodes send it orders: from one come ten at
-once, which fill the servers for 20 ms; from the other come single orders, so the
-servers reject some of these and have room for them 20 ms later. In each of ten
-periods of five seconds, four in a hundred answers of one server have a second copy
-that comes late: on the same connection, ahead of the next answer.
+The store is silent for four and a half seconds, about thirty seconds after the
+nodes have read the config. Later, when the store has long been stable, the
+config moves the only route to another service.
 """
 
 import asyncio
 import itertools
-import random
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import Client, Message, Server, Site, config, main, route
+from standins import BOUNDS, Client, Server, Site, config, main, route
 
-_COPY_RATIO = 0.04
-_TROUBLE_S = 5.0
-_PAUSE_S = 3.0
-_TROUBLES = 10
-_WARM_UP_S = 12.0
-_BATCH = 10
-_BATCH_GAP_S = 0.05
-
-
-class CopyingServer(Server):
-    """Sends second copies of some answers, late, while it is in trouble."""
-
-    in_trouble = False
-
-    def __init__(self, *args, **options) -> None:
-        super().__init__(*args, **options)
-        self._late_copies = {}
-
-    async def on_request(self, message: Message, writer) -> None:
-        copy = self._late_copies.pop(writer, None)
-        if copy is not None:
-            writer.write(copy)
-            name = message.header("request-id")
-            self.record.write(
-                f"server {self.server_id} sends a second copy of its last answer"
-                f" before its answer to {name}"
-            )
-        sent = []
-        send = writer.write
-
-        class Tap:
-            def write(self, data: bytes) -> None:
-                sent.append(data)
-                send(data)
-
-        await super().on_request(message, Tap())
-        if self.in_trouble and sent and random.random() < _COPY_RATIO:
-            self._late_copies[writer] = sent[-1]
+_NODES = 2
+_SILENT_FROM_S = 28.0
+_SILENT_S = 4.5
+_CHANGE_AFTER_S = 6.0
+_AFTER_CHANGE_S = 12.0
+_PAUSE_S = 0.1
 
 
 async def case(site: Site, trouble: bool) -> list[str]:
-    servers = [
-        CopyingServer(site.record, f"i-{number}", "file", 0.012, 3, queue=2)
-        for number in range(2)
-    ]
-    for server in servers:
-        await site.add_server(server)
-    orders = route(
-        "orders", "/order/", route_type="non_idempotent", service="file"
-    )
-    await site.store.put("op/config", config(3, [orders], ["file"]))
-    busy_node, _ = await site.add_node("n1")
-    other_node, _ = await site.add_node("n2")
+    for service in ("first", "second"):
+        for number in range(2):
+            server_id = f"i-{service}-{number}"
+            server = Server(site.record, server_id, service, 0.01, 3)
+            await site.add_server(server)
+
+    def version(number: int, service: str) -> dict:
+        find = route("find", "/find/", route_type="idempotent", service=service)
+        return config(number, [find], ["first", "second"])
+
+    await site.store.put("op/config", version(3, "first"))
+    nodes = [(await site.add_node(f"n{i}"))[0] for i in range(_NODES)]
+    start_s = site.record.now_s()
+    change_s = start_s + _SILENT_FROM_S + _SILENT_S + _CHANGE_AFTER_S
     ids = itertools.count(1)
-    promised: dict[str, int] = {}
-    until = site.record.now_s() + _WARM_UP_S + _TROUBLES * (_TROUBLE_S + _PAUSE_S)
-
-    async def order(connection: Client) -> None:
-        name = f"order-{next(ids):06d}"
-        answer = await connection.ask("POST", "/order/1", name, 2_000, b"{}")
-        status = int(answer.first[1]) if answer is not None else 0
-        site.record.write(f"client gets {status} for {name}")
-        if status in (429, 503, 408, 421):
-            promised[name] = status
-
-    async def send_single() -> None:
-        connection = Client(other_node.front)
-        while site.record.now_s() < until:
-            await order(connection)
-            await asyncio.sleep(0.002)
-
-    async def send_batches() -> None:
-        connections = [Client(busy_node.front) for _ in range(_BATCH)]
-        while site.record.now_s() < until:
-            await asyncio.gather(*map(order, connections))
-            await asyncio.sleep(_BATCH_GAP_S)
-
-    async def disrupt() -> None:
-        await asyncio.sleep(_WARM_UP_S)
-        for number in range(_TROUBLES):
-            server = servers[number % len(servers)]
-            server.in_trouble = trouble
-            await asyncio.sleep(_TROUBLE_S)
-            server.in_trouble = False
+    sent_s: dict[str, float] = {}
+    acknowledged_s = 0.0
+
+    async def client(node) -> None:
+        connection = Client(node.front)
+        while site.record.now_s() < change_s + _AFTER_CHANGE_S:
+            name = f"{node.name}-{next(ids):06d}"
+            sent_s[name] = site.record.now_s()
+            answer = await connection.ask("GET", "/find/1", name, 2_000)
+            status = answer.first[1] if answer is not None else "no answer"
+            site.record.write(f"client gets {status} for {name}")
             await asyncio.sleep(_PAUSE_S)
 
-    await asyncio.gather(disrupt(), send_batches(), send_single())
-    await asyncio.sleep(1)
-    runs = Counter(run.request_id for server in servers for run in server.runs)
-    broken = [
-        f"TWICE: {order} ran {count} times"
-        for order, count in runs.items()
-        if count > 1
-    ]
-    broken += [
-        f"REFUSED: {order} was answered {status} and has run"
-        for order, status in promised.items()
-        if order in runs
+    async def disrupt() -> None:
+        nonlocal acknowledged_s
+        await asyncio.sleep(_SILENT_FROM_S)
+        if trouble:
+            site.record.write("the store falls silent")
+            site.store.fall_silent()
+        await asyncio.sleep(_SILENT_S)
+        site.store.speak()
+        site.record.write("the store answers")
+        await asyncio.sleep(_CHANGE_AFTER_S)
+        await site.store.put("op/config", version(8, "second"))
+        acknowledged_s = site.record.now_s()
+        site.record.write("the store acknowledges version 8")
+
+    await asyncio.gather(disrupt(), *map(client, nodes))
+    due_s = acknowledged_s + BOUNDS["config_apply_ms"] / 1_000
+    return [
+        f"CONFIG: {run.request_id}, sent {sent_s[run.request_id] - acknowledged_s:.1f}"
+        f" s after version 8 was acknowledged, ran at the old service"
+        for server in site.servers
+        if server.service == "first"
+        for run in server.runs
+        if sent_s[run.request_id] > due_s
     ]
-    site.record.write(f"orders: {next(ids) - 1}, that ran: {len(runs)}")
-    return broken
 
 
 if __name__ == "__main__":
