--- a/review/1/case.py
+++ b/review/1/case.py
@@ -74,7 +74,9 @@
     other_node, _ = await site.add_node("n2")
     ids = itertools.count(1)
     promised: dict[str, int] = {}
-    until = site.record.now_s() + _WARM_UP_S + _TROUBLES * (_TROUBLE_S + _PAUSE_S)
+    until = (
+        site.record.now_s() + _WARM_UP_S + _TROUBLES * (_TROUBLE_S + _PAUSE_S)
+    )
 
     async def order(connection: Client) -> None:
         name = f"order-{next(ids):06d}"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -24,13 +24,16 @@
 
 async def case(site: Site, trouble: bool) -> list[str]:
     servers = [
-        Server(site.record, f"i-{number}", "crates", 0.03, 3) for number in range(3)
+        Server(site.record, f"i-{number}", "crates", 0.03, 3)
+        for number in range(3)
     ]
     for server in servers:
         await site.add_server(server)
     find = route("find", "/find/", route_type="idempotent", service="crates")
     await site.store.put("op/config", config(3, [find], ["crates"]))
-    nodes, fronts = zip(*[await site.add_node(f"n{i}") for i in range(2)], strict=True)
+    nodes, fronts = zip(
+        *[await site.add_node(f"n{i}") for i in range(2)], strict=True
+    )
     leaver = servers[0]
     ids = itertools.count(1)
     sent_s: dict[str, float] = {}
@@ -85,7 +88,10 @@
         f" {arrival.at_s - removed_s:.1f} s after its entry was removed"
         for arrival in leaver.arrivals
         if arrival.at_s > due_s
-        and (arrival.request_id.startswith("n0") or sent_s[arrival.request_id] > in_touch_s)
+        and (
+            arrival.request_id.startswith("n0")
+            or sent_s[arrival.request_id] > in_touch_s
+        )
     ]
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -182,7 +182,9 @@
                 writer.transport.abort()
 
     async def put(self, key: str, value: object, lease: int = 0) -> None:
-        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        content = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
         self.revision += 1
         item = {
             "key": key,
@@ -198,14 +200,18 @@
         if self.items.pop(key, None) is None:
             return
         self.revision += 1
-        await self._add({"key": key, "revision": self.revision, "removed": True})
+        await self._add(
+            {"key": key, "revision": self.revision, "removed": True}
+        )
 
     async def expire_leases(self) -> None:
         """Removes the keys of leases that have ended; runs until cancelled."""
         while True:
             await asyncio.sleep(0.1)
             now_s = time.monotonic()
-            ended = {i for i, (due_s, _) in self._leases.items() if due_s < now_s}
+            ended = {
+                i for i, (due_s, _) in self._leases.items() if due_s < now_s
+            }
             await self._end_leases(ended)
 
     async def _end_leases(self, ended: set[int]) -> None:
@@ -277,7 +283,8 @@
         items = [
             item
             for key, item in sorted(self.items.items())
-            if key.startswith(fields["prefix"]) and key > fields.get("after", "")
+            if key.startswith(fields["prefix"])
+            and key > fields.get("after", "")
         ]
         return {
             "items": items[:500],
@@ -294,7 +301,8 @@
                 events = [
                     event
                     for event in self._history
-                    if event["revision"] > after and event["key"].startswith(prefix)
+                    if event["revision"] > after
+                    and event["key"].startswith(prefix)
                 ]
                 left_s = due_s - time.monotonic()
                 if events or left_s <= 0:
@@ -356,7 +364,9 @@
     async def start(self) -> None:
         port = free_port()
         self.address = f"127.0.0.1:{port}"
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
 
     def stop(self) -> None:
         """Ends as a killed process does, with its connections."""
@@ -421,7 +431,10 @@
         return encode_response(503, "Service Unavailable", headers, b"")
 
     def success(self, message: Message, request_id: str) -> bytes:
-        headers = {"Request-Id": request_id, "Server-Stamp": self.stamp(request_id)}
+        headers = {
+            "Request-Id": request_id,
+            "Server-Stamp": self.stamp(request_id),
+        }
         if message.first[0] == "HEAD":
             return encode_response(200, "OK", headers, b"")
         return encode_response(200, "OK", headers, self.body())
@@ -478,13 +491,19 @@
         template = (REPOSITORY / role["template"]).read_text()
         settings.write_text(self._render(template))
         environment = {
-            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
         }
         environment["PYTHONPATH"] = str(REPOSITORY / "target/deps")
         environment["SNIPESADDLE_BOOT"] = str(settings)
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *role["run"].split(), cwd=REPOSITORY, env=environment, stdout=log, stderr=log
+                *role["run"].split(),
+                cwd=REPOSITORY,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     async def wait_ready(self, limit_s: float = 20.0) -> None:
@@ -493,7 +512,9 @@
         while time.monotonic() < due_s:
             try:
                 reader, writer = await asyncio.open_connection(ip, int(port))
-                writer.write(b"GET /snipesaddle/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                writer.write(
+                    b"GET /snipesaddle/readyz HTTP/1.1\r\nHost: x\r\n\r\n"
+                )
                 message = await read_message(reader, True)
                 writer.close()
                 if message is not None and message.first[1] == "200":
@@ -515,7 +536,9 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._streams: (
+            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        ) = None
 
     async def ask(
         self,
@@ -578,12 +601,16 @@
     } | fields
 
 
-def config(version: int, routes: list[dict[str, Any]], services: list[str]) -> dict[str, Any]:
+def config(
+    version: int, routes: list[dict[str, Any]], services: list[str]
+) -> dict[str, Any]:
     """Returns a config in full."""
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": name, "max_connections": 41} for name in services],
+        "services": [
+            {"name": name, "max_connections": 41} for name in services
+        ],
         "limits": {
             "max_header_bytes": 16_384,
             "max_body_bytes": 1_048_576,
