--- a/review/standins.py
+++ b/review/standins.py
@@ -357,11 +357,12 @@
         self.runs: list[Run] = []
         self.arrivals: list[Run] = []
         self.address = ""
-        self.born_unix_ms = int(time.time() * 1_000)
+        self.born_unix_ms = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
+        self.born_unix_ms = int(time.time() * 1_000)
         port = free_port()
         self.address = f"127.0.0.1:{port}"
         self._server = await asyncio.start_server(
