--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -46,6 +46,16 @@
         if answer.not_run:
             part.possible_runs -= 1
             part.run_endpoint_ids.remove(attempt.endpoint_id)
+            world.log(
+                "attempt_rejected",
+                request=request.arrived.client_request_id,
+                service=part.service,
+                endpoint=attempt.endpoint_id,
+                connection=attempt.connection_id,
+                status=answer.status,
+                sends=part.send_count,
+                age_ms=round((now_ns - attempt.sent_ns) / NS_PER_MS, 1),
+            )
             self._on_attempt_failed(
                 world, request, attempt, MissingCause.REFUSED, now_ns
             )
