Send a request only once on a connection

Cause: answers are matched by connection and request id, and all sends of a request have the same id. After a rejection the request was sent again on the same connection, and a late second copy of the rejection was taken for the answer to that send, while the endpoint ran it; the node then sent it a third time.

Change: a connection carries a request id once. A repeated send takes another idle connection, opens one, or closes the used one to make room at the limit. This works because the copy can only arrive on the connection of its answer. Also for signed failures that are tried again, and for a request that reaches a node twice by relays.

--- a/src/snipesaddle/_internal/systems/forwarding/connections.py
+++ b/src/snipesaddle/_internal/systems/forwarding/connections.py
@@ -15,6 +15,7 @@
     Endpoint,
     EndpointConnection,
 )
+from snipesaddle._internal.tables.forwarding.requests import Request
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 # Endpoints refuse connections above their limit, so a margin stays unused.
@@ -47,23 +48,36 @@
 def acquire(
     world: ForwardWorld,
     endpoint: Endpoint,
+    request: Request,
     attempt_id: int,
     now_ns: int,
-    non_idempotent: bool,
 ) -> EndpointConnection:
-    """Returns an idle connection, or opens a new one for the attempt.
+    """Returns a connection for an attempt: an idle one, or a new one.
 
-    With `non_idempotent`, the request must not run twice, so a connection
-    that the endpoint may already be closing is not reused.
+    An idle connection that has carried the request before is passed over: all
+    sends of a request have the same id, so a late second copy of the answer to
+    an earlier one could not be told from the answer to this one.
     """
-    while endpoint.idle_connection_ids:
+    used: list[EndpointConnection] = []
+    acquired = None
+    while endpoint.idle_connection_ids and acquired is None:
         connection = world.connections[endpoint.idle_connection_ids.pop()]
-        if _is_reusable(connection, now_ns, non_idempotent):
-            connection.state = ConnectionState.BUSY
-            connection.attempt_id = attempt_id
-            return connection
-        discard(world, connection)
-        world.emit(CloseConnection(connection.connection_id))
+        if not _is_reusable(connection, now_ns, request.route.idempotent):
+            discard(world, connection)
+            world.emit(CloseConnection(connection.connection_id))
+        elif connection.has_carried(request.arrived.client_request_id):
+            used.append(connection)
+        else:
+            acquired = connection
+    endpoint.idle_connection_ids.extend(
+        connection.connection_id for connection in reversed(used)
+    )
+    if acquired is not None:
+        acquired.state = ConnectionState.BUSY
+        acquired.attempt_id = attempt_id
+        return acquired
+    if used and endpoint.connection_count >= connection_quota(world, endpoint):
+        _close(world, [used[-1].connection_id])
     return _open(world, endpoint, attempt_id, now_ns)
 
 
@@ -146,10 +160,11 @@
 
 
 def _is_reusable(
-    connection: EndpointConnection, now_ns: int, non_idempotent: bool
+    connection: EndpointConnection, now_ns: int, idempotent: bool
 ) -> bool:
+    """Returns whether the endpoint is sure not to be closing a connection."""
     idle_ns = now_ns - connection.state_since_ns
-    if non_idempotent and idle_ns > _MAX_IDLE_NON_IDEMPOTENT_NS:
+    if not idempotent and idle_ns > _MAX_IDLE_NON_IDEMPOTENT_NS:
         reusable_until_ns = connection.reusable_until_ns
         return (
             reusable_until_ns > 0
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -144,7 +144,7 @@
     part = request.parts[index]
     attempt_id = world.next_id()
     connection = connections.acquire(
-        world, endpoint, attempt_id, now_ns, not request.route.idempotent
+        world, endpoint, request, attempt_id, now_ns
     )
     attempt = Attempt(
         attempt_id=attempt_id,
@@ -179,6 +179,9 @@
     """Sends an attempt on its open connection."""
     part = request.parts[attempt.part_index]
     attempt.sent_ns = now_ns
+    world.connections[attempt.connection_id].record_carried(
+        request.arrived.client_request_id
+    )
     if attempt.charge is not None:
         retries.count_sent(world, attempt.service, attempt.charge, now_ns)
     part.possible_runs += 1
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -4,6 +4,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+# A second copy of an answer comes before the answers to later requests, so
+# that only the last few requests can have one that is still to come.
+_MAX_CARRIED_IDS = 16
+
 
 class Registration(enum.Enum):
     """The state that an endpoint reports in its registration."""
@@ -136,6 +140,7 @@
       attempt_id: the attempt on it, or waiting for it to open; 0 for none.
       reusable_until_ns: shortly before the endpoint may close it as idle; 0
         if unknown.
+      carried_request_ids: the client ids of the last requests sent on it.
     """
 
     connection_id: int
@@ -145,6 +150,17 @@
     state_since_ns: int
     attempt_id: int = 0
     reusable_until_ns: int = 0
+    carried_request_ids: deque[bytes] = field(
+        default_factory=lambda: deque(maxlen=_MAX_CARRIED_IDS)
+    )
+
+    def record_carried(self, client_request_id: bytes) -> None:
+        """Records that a request was sent on it."""
+        self.carried_request_ids.append(client_request_id)
+
+    def has_carried(self, client_request_id: bytes) -> bool:
+        """Returns whether a request was sent on it recently."""
+        return client_request_id in self.carried_request_ids
 
 
 @dataclass(slots=True)
--- a/tests/unit/forwarding/test_fuzz_tables.py
+++ b/tests/unit/forwarding/test_fuzz_tables.py
@@ -59,6 +59,7 @@
         self.answers: Counter[int] = Counter()
         self.refused: set[int] = set()
         self.connection_counts: dict[str, int] = {}
+        self.carried: set[tuple[int, bytes]] = set()
 
     def collect(self) -> None:
         """Takes what the node sent and said since the last step."""
@@ -74,6 +75,7 @@
             backoff_until_ms = self.backoff_until_ms.get(instance, 0.0)
             assert self.ticks.now_ms >= backoff_until_ms
             assert client not in self.refused
+            self.check_carried_once(attempt)
             self.sent[client, service] += 1
             self.used.setdefault((client, service), set()).add(
                 attempt.endpoint_id
@@ -223,6 +225,15 @@
     def clients_get_one_answer(self) -> None:
         assert all(count == 1 for count in self.answers.values())
 
+    def check_carried_once(self, attempt: commands.SendAttempt) -> None:
+        """A late copy of an answer could answer a second send of a request."""
+        carried = (
+            attempt.connection_id,
+            attempt.request.arrived.client_request_id,
+        )
+        assert carried not in self.carried
+        self.carried.add(carried)
+
     def check_connections(self) -> None:
         """Connections above the quota may only end.
 
