--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -173,6 +173,13 @@
         self, world: ForwardWorld, event: RangeFailed, now_ns: int
     ) -> None:
         cache = world.range_caches[event.range]
+        world.log(
+            "store_call_failed",
+            range=cache.range.value,
+            stage=cache.stage.value,
+            waited_ms=(now_ns - cache.call_started_ns) // NS_PER_MS,
+            detail=event.detail,
+        )
         cache.call_in_flight = False
         cache.listed_items = {}
         cache.after_key = ""
