Notice that watches are lost in a silent store outage

Cause: a watch that is sent in such an outage is never answered, and only its timeout of 31 s ended it. All nodes send theirs soon after a change or together every 30 s, so no node had news for the others.

Change: data count as current only for some time after an answer. One node confirms for the fleet by watches of 1.5 s; heartbeats tell the others how old its answers are; a node whose data nobody has confirmed replaces its waiting watches by calls that are answered at once. After a failure the first watch does not wait either. It works whichever watch is lost, whenever and why, since nothing is concluded from silence. Two calls in 1.5 s for the whole fleet.

The store of the simulated fleet becomes a class of its own, ends watches after their wait and calls after their timeout, and can be silent.

--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -47,6 +47,8 @@
 
     Attributes:
       watch_wait_ms: how long one watch waits for a change.
+      confirm_ms: the same at the node that confirms for the fleet that the
+        data are current.
       watch_gap_ms: delay after a watch that returned changes, so that changes
         in quick succession arrive together.
       idle_gap_ms: the same delay for the endpoints on a node that clients are
@@ -66,6 +68,7 @@
     address: Address
     call_timeout_ms: Positive = 1_000
     watch_wait_ms: Positive = 30_000
+    confirm_ms: Positive = 1_500
     watch_gap_ms: Positive = 300
     idle_gap_ms: Positive = 1_200
     node_gap_ms: Positive = 2_000
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/confirmation.py
@@ -0,0 +1,136 @@
+"""Confirmation: notices that the store is silent, and that watches are lost.
+
+Answers the load pattern of changes beside an outage that ends no call: a watch
+that is sent in such an outage is never answered, which looks like a store
+without changes. So the data of a node must be confirmed again and again. One
+node of the fleet, the confirming node, lets its watches end after a short
+wait, and its heartbeats tell how old its last answers are. A node whose data
+nobody has confirmed for too long replaces its own watches, which may be lost,
+by calls that are answered at once.
+"""
+
+from snipesaddle._internal.systems import rendezvous
+from snipesaddle._internal.systems.forwarding import activity
+from snipesaddle._internal.systems.tick import NS_PER_MS
+from snipesaddle._internal.tables.forwarding.fleet import (
+    NEVER_CONFIRMED,
+    NodeRecord,
+)
+from snipesaddle._internal.tables.forwarding.store_ranges import (
+    Range,
+    RangeCache,
+)
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+
+_CONFIRMED_RANGES = (Range.CONFIG, Range.ENDPOINTS)
+# A watch without a wait is answered at once, with the changes so far.
+NO_WAIT_MS = 1
+# The confirming node is the first to notice that its answers are overdue, then
+# one node after another: the first that gets an answer spares the others.
+_MARGIN_NS = 250 * NS_PER_MS
+_STAGGER_NS = 250 * NS_PER_MS
+_MAX_STAGGERS = 5
+_OVERDUE_CHECK_NS = 250 * NS_PER_MS
+
+
+def watch_wait_ms(world: ForwardWorld, cache: RangeCache, now_ns: int) -> int:
+    """Returns how long the next watch of a range may wait for changes."""
+    if cache.consecutive_failures or cache.overdue:
+        return NO_WAIT_MS
+    settings = world.settings.store
+    if cache.range in _CONFIRMED_RANGES and _rank(world, now_ns) == 0:
+        return min(settings.confirm_ms, settings.watch_wait_ms)
+    return settings.watch_wait_ms
+
+
+def confirmed_ago_ms(world: ForwardWorld, now_ns: int) -> int:
+    """Returns the age of the older of the last answers for the ranges."""
+    confirmed_ns = min(
+        world.range_caches[kind].confirmed_ns for kind in _CONFIRMED_RANGES
+    )
+    if not confirmed_ns:
+        return NEVER_CONFIRMED
+    return (now_ns - confirmed_ns) // NS_PER_MS
+
+
+def record_peer(world: ForwardWorld, record: NodeRecord, now_ns: int) -> None:
+    """Records that a peer's data were confirmed, if these are no older."""
+    if record.confirmed_ago_ms == NEVER_CONFIRMED:
+        return
+    if (
+        record.config_version > world.active_config.version
+        or record.endpoints_revision > world.endpoints_revision
+    ):
+        return
+    confirmed_ns = now_ns - record.confirmed_ago_ms * NS_PER_MS
+    store = world.store
+    store.peer_confirmed_ns = max(store.peer_confirmed_ns, confirmed_ns)
+
+
+def next_check_ns(world: ForwardWorld, now_ns: int) -> int:
+    """Returns when a range may be overdue at the earliest."""
+    oldest_ns = min(_confirmed_ns(world, kind) for kind in _CONFIRMED_RANGES)
+    due_ns = oldest_ns + _max_age_ns(world, now_ns)
+    return max(due_ns, now_ns + _OVERDUE_CHECK_NS)
+
+
+def mark_overdue(world: ForwardWorld, now_ns: int) -> list[RangeCache]:
+    """Marks the ranges that wait for changes and are not confirmed in time.
+
+    Returns:
+      The ranges marked. The one of the nodes is not confirmed by itself, and is
+      marked with any other.
+    """
+    max_age_ns = _max_age_ns(world, now_ns)
+    overdue = [
+        world.range_caches[kind]
+        for kind in _CONFIRMED_RANGES
+        if world.range_caches[kind].waits
+        and now_ns >= _confirmed_ns(world, kind) + max_age_ns
+    ]
+    if not overdue:
+        return []
+    if world.range_caches[Range.NODES].waits:
+        overdue.append(world.range_caches[Range.NODES])
+    for cache in overdue:
+        cache.overdue = True
+        world.log(
+            "watch_overdue",
+            range=cache.range.value,
+            waited_ms=(now_ns - cache.call_started_ns) // NS_PER_MS,
+        )
+    return overdue
+
+
+def _confirmed_ns(world: ForwardWorld, kind: Range) -> int:
+    return max(
+        world.range_caches[kind].confirmed_ns, world.store.peer_confirmed_ns
+    )
+
+
+def _max_age_ns(world: ForwardWorld, now_ns: int) -> int:
+    staggers = min(2 * _rank(world, now_ns), _MAX_STAGGERS)
+    return (
+        world.settings.store.confirm_ms * NS_PER_MS
+        + activity.heartbeat_interval_ns(world)
+        + _MARGIN_NS
+        + staggers * _STAGGER_NS
+    )
+
+
+def _rank(world: ForwardWorld, now_ns: int) -> int:
+    """Returns how many nodes are to confirm before this one.
+
+    Rendezvous hashing over the active nodes that reach the store gives the
+    same order on all nodes.
+    """
+    node_ids = [
+        peer.record.node_id
+        for peer in activity.live_active_peers(world, now_ns)
+        if peer.record.store_ok and peer.last_heard_ns
+    ]
+    if not activity.is_active(world) or not world.store.is_ok:
+        return len(node_ids)
+    node_ids.append(world.this_node.node_id)
+    ranked = rendezvous.ranked(node_ids, "confirm", len(node_ids))
+    return ranked.index(world.this_node.node_id)
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -9,6 +9,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     activity,
+    confirmation,
     connections,
     containment,
     fleet_shares,
@@ -72,7 +73,7 @@
 
 def send_heartbeats(world: ForwardWorld, now_ns: int) -> None:
     """Sends a heartbeat to each of the heartbeat targets."""
-    record = this_node_record(world)
+    record = this_node_record(world, now_ns)
     short = NodeBeat(record)
     full = NodeBeat(record, _other_active_records(world, now_ns))
     for node in heartbeat_targets(world):
@@ -81,9 +82,9 @@
         world.emit(SendToNode(node.record.peer_address, heartbeat))
 
 
-def announce(world: ForwardWorld) -> None:
+def announce(world: ForwardWorld, now_ns: int) -> None:
     """Tells all nodes at once of this node and its phase."""
-    heartbeat = NodeBeat(this_node_record(world))
+    heartbeat = NodeBeat(this_node_record(world, now_ns))
     for node in world.fleet.nodes.values():
         world.emit(SendToNode(node.record.peer_address, heartbeat))
 
@@ -119,7 +120,7 @@
                 self._apply_item(world, change.key, change.item, now_ns)
         if world.fleet.own_record_seen and not had_seen_own_record:
             # Nodes that read the records before do not know of this one.
-            announce(world)
+            announce(world, now_ns)
         beats = world.inbox.take(NodeBeat)
         containment.run_each(world, beats, self._on_beat, now_ns)
         for _ in world.timers.pop_due(TimerKind.FLEET_HEARTBEAT, now_ns):
@@ -224,6 +225,7 @@
             # its node is up.
             if known is None or _is_newer(record, known.record):
                 self._on_record(world, record, now_ns)
+        confirmation.record_peer(world, beat.node, now_ns)
         node = fleet.nodes[beat.node.node_id]
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
 
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -57,7 +57,7 @@
         world.presence.stale = True
         presence.update_now(world, now_ns)
         activity.refresh_active(world, now_ns)
-        fleet.announce(world)
+        fleet.announce(world, now_ns)
         world.emit(SetReadiness(True))
         world.log(
             "serving",
@@ -83,7 +83,7 @@
         world.timers.set(TimerKind.DRAIN, _LEAVE, now_ns + serve_ns)
         world.emit(SetReadiness(False))
         presence.update_now(world, now_ns)
-        fleet.announce(world)
+        fleet.announce(world, now_ns)
         world.log("leaving", open_requests=len(world.requests))
 
     def _exit_if_finished(self, world: ForwardWorld, now_ns: int) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -1,5 +1,6 @@
 """Presence: keeps this node's record in the store, under a lease."""
 
+from snipesaddle._internal.systems.forwarding import confirmation
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.commands import (
     RemovePresence,
@@ -23,7 +24,7 @@
 _PRESENCE = "presence"
 
 
-def this_node_record(world: ForwardWorld) -> NodeRecord:
+def this_node_record(world: ForwardWorld, now_ns: int) -> NodeRecord:
     """Returns the current record of this node, with the next sequence."""
     this_node = world.this_node
     this_node.sequence += 1
@@ -40,6 +41,7 @@
         sequence=this_node.sequence,
         attempts_per_s=world.fleet.attempts_per_s,
         fleet_size=world.fleet.size,
+        confirmed_ago_ms=confirmation.confirmed_ago_ms(world, now_ns),
     )
 
 
@@ -62,7 +64,7 @@
         for failed in world.inbox.take(PresenceFailed):
             self._on_failure(world, failed, now_ns)
         for _ in world.timers.pop_due(TimerKind.PRESENCE, now_ns):
-            self._update_record(world)
+            self._update_record(world, now_ns)
 
     def _on_failure(
         self, world: ForwardWorld, event: PresenceFailed, now_ns: int
@@ -82,7 +84,7 @@
     def _schedule(self, world: ForwardWorld, due_ns: int) -> None:
         world.timers.set(TimerKind.PRESENCE, _PRESENCE, due_ns)
 
-    def _update_record(self, world: ForwardWorld) -> None:
+    def _update_record(self, world: ForwardWorld, now_ns: int) -> None:
         presence = world.presence
         timeout_ms = world.settings.store.call_timeout_ms
         if presence.call_in_flight:
@@ -98,7 +100,7 @@
             ttl_ms = world.settings.store.presence_ttl_ms
             world.emit(
                 WritePresence(
-                    this_node_record(world),
+                    this_node_record(world, now_ns),
                     presence.lease_id,
                     ttl_ms,
                     timeout_ms,
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -7,6 +7,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     activity,
+    confirmation,
     containment,
     following,
 )
@@ -42,6 +43,7 @@
 _STALLED_WATCH_NS = 700 * NS_PER_MS
 # How often a node that follows others checks whether it still should.
 _FOLLOW_CHECK_NS = 400 * NS_PER_MS
+_CONFIRMATION = "confirmation"
 
 
 class StoreSyncSystem(TickSystem[ForwardWorld]):
@@ -50,6 +52,7 @@
     def start(self, world: ForwardWorld, now_ns: int) -> None:
         for cache in world.range_caches.values():
             world.timers.set(TimerKind.STORE_SYNC, cache.range, now_ns)
+        world.timers.set(TimerKind.STORE_CONFIRMATION, _CONFIRMATION, now_ns)
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         following.update_lag(world, now_ns)
@@ -68,6 +71,11 @@
             else:
                 self._start_call(world, cache, now_ns)
         self._replace_stalled_watch(world, now_ns)
+        for key in world.timers.pop_due(TimerKind.STORE_CONFIRMATION, now_ns):
+            for cache in confirmation.mark_overdue(world, now_ns):
+                self._start_call(world, cache, now_ns)
+            due_ns = confirmation.next_check_ns(world, now_ns)
+            world.timers.set(TimerKind.STORE_CONFIRMATION, key, due_ns)
 
     def _replace_stalled_watch(self, world: ForwardWorld, now_ns: int) -> None:
         fleet = world.fleet
@@ -115,6 +123,7 @@
         items, cache.listed_items = cache.listed_items, {}
         cache.after_key = ""
         cache.stage = SyncStage.WATCH
+        cache.confirmed_ns = now_ns
         cache.revision = cache.first_page_revision
         world.listed_ranges[cache.range] = items
         world.range_changes[cache.range].clear()
@@ -148,6 +157,7 @@
     ) -> None:
         cache = world.range_caches[event.range]
         self._on_reply(world, cache, now_ns)
+        cache.confirmed_ns = now_ns
         following.pass_on_changes(world, event, cache.revision, now_ns)
         for change in following.queue_changes(
             world, cache, event.changes, event.revision
@@ -173,6 +183,7 @@
         self, world: ForwardWorld, event: RangeFailed, now_ns: int
     ) -> None:
         cache = world.range_caches[event.range]
+        cache.waits = False
         world.log(
             "store_call_failed",
             range=cache.range.value,
@@ -206,12 +217,15 @@
         self, world: ForwardWorld, cache: RangeCache, now_ns: int
     ) -> None:
         cache.call_in_flight = False
+        cache.waits = False
         cache.stalled_calls = 0
-        if cache.consecutive_failures and world.store.is_ok:
-            # One failed watch may have been a short outage, so the grace
-            # period for expired registrations starts here, too.
+        is_recovery = cache.consecutive_failures or cache.overdue
+        if is_recovery and world.store.is_ok:
+            # One failed or lost watch may have been a short outage, so the
+            # grace period for expired registrations starts here, too.
             world.store.recovered_ns = now_ns
         cache.consecutive_failures = 0
+        cache.overdue = False
         cache.last_reply_ns = now_ns
         if not world.store.is_ok:
             lost_ms = (now_ns - world.store.lost_since_ns) // NS_PER_MS
@@ -249,6 +263,7 @@
     ) -> None:
         cache.call_in_flight = True
         cache.call_started_ns = now_ns
+        cache.waits = False
         world.counters.store_calls += 1
         settings = world.settings.store
         if cache.stage is SyncStage.LIST:
@@ -258,12 +273,7 @@
                 )
             )
             return
-        timeout_ms = settings.watch_wait_ms + settings.call_timeout_ms
-        world.emit(
-            WatchRange(
-                cache.range,
-                cache.revision,
-                settings.watch_wait_ms,
-                timeout_ms,
-            )
-        )
+        wait_ms = confirmation.watch_wait_ms(world, cache, now_ns)
+        cache.waits = wait_ms > confirmation.NO_WAIT_MS
+        timeout_ms = wait_ms + settings.call_timeout_ms
+        world.emit(WatchRange(cache.range, cache.revision, wait_ms, timeout_ms))
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+# The value of `confirmed_ago_ms` of a node that has had no answers yet.
+NEVER_CONFIRMED = -1
+
 
 class NodePhase(enum.Enum):
     """The life cycle of an entry node."""
@@ -27,6 +30,8 @@
       attempts_per_s: its load, averaged over one heartbeat interval.
       fleet_size: how many nodes it knows, itself included; 0 while it has not
         read their records from the store.
+      confirmed_ago_ms: how long ago the store last answered it for both the
+        configuration and the endpoints; NEVER_CONFIRMED before that.
     """
 
     node_id: str
@@ -41,6 +46,7 @@
     sequence: int = 0
     attempts_per_s: int = 0
     fleet_size: int = 0
+    confirmed_ago_ms: int = NEVER_CONFIRMED
 
 
 @dataclass(slots=True)
--- a/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
+++ b/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
@@ -72,6 +72,11 @@
         no changes while other nodes received some.
       consecutive_failures: failed calls since the last successful one.
       last_reply_ns: when the store last answered a call for it; 0 for never.
+      confirmed_ns: when an answer last showed that all changes are known; 0
+        for never.
+      waits: the call in flight is a watch that waits for changes.
+      overdue: nobody has confirmed the data for too long, so that a watch in
+        flight may be lost; until the next answer.
     """
 
     range: Range
@@ -87,6 +92,9 @@
     stalled_calls: int = 0
     consecutive_failures: int = 0
     last_reply_ns: int = 0
+    confirmed_ns: int = 0
+    waits: bool = False
+    overdue: bool = False
 
 
 @dataclass(slots=True)
@@ -96,10 +104,13 @@
     Attributes:
       lost_since_ns: when it became unreachable; 0 while it is reachable.
       recovered_ns: when it last became reachable again; 0 for never.
+      peer_confirmed_ns: when a peer whose data are no newer than those held
+        here last had answers; 0 for never.
     """
 
     lost_since_ns: int = 0
     recovered_ns: int = 0
+    peer_confirmed_ns: int = 0
 
     @property
     def is_ok(self) -> bool:
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -27,6 +27,7 @@
     RELAY = enum.auto()
     DRAIN = enum.auto()
     STORE_SYNC = enum.auto()
+    STORE_CONFIRMATION = enum.auto()
     PRESENCE = enum.auto()
     FLEET_HEARTBEAT = enum.auto()
     ENDPOINT = enum.auto()
--- /dev/null
+++ b/tests/standins/simulated_store.py
@@ -0,0 +1,136 @@
+"""The platform's store of a simulated fleet: lists, watches and outages."""
+
+import itertools
+from collections.abc import Callable
+
+from snipesaddle._internal.tables.forwarding import commands, events
+from snipesaddle._internal.tables.forwarding.store_ranges import (
+    Change,
+    Item,
+    Range,
+)
+
+# Delivers an event to the node that made a call.
+Deliver = Callable[[object], None]
+_ANSWER_MS = 4.0
+_REFUSAL_MS = 50.0
+
+
+class SimulatedStore:
+    """A store whose clock is the queue of the fleet.
+
+    A node has at most one call in flight for a range; a newer one replaces it.
+
+    Attributes:
+      revision: increases with each change.
+      is_silent: calls get no answer, those that wait included, also not later.
+      calls: all calls of lists and watches so far.
+    """
+
+    def __init__(self, at: Callable[[float, Callable[[], None]], None]) -> None:
+        self.revision = 10
+        self.is_silent = False
+        self.calls = 0
+        self._at = at
+        self._items: dict[Range, dict[str, Item]] = {kind: {} for kind in Range}
+        self._changes: list[tuple[Range, Change]] = []
+        self._numbers = itertools.count(1)
+        self._newest_call: dict[tuple[str, Range], int] = {}
+        self._watches: dict[
+            tuple[str, Range], tuple[commands.WatchRange, Deliver, int]
+        ] = {}
+
+    def fill(self, kind: Range, items: dict[str, Item]) -> None:
+        """Puts the items of a range that were there from the beginning."""
+        self._items[kind].update(items)
+
+    def put(self, kind: Range, key: str, item: Item | None) -> None:
+        """Writes an item, or removes it, and answers the watches."""
+        self.revision += 1
+        if item is None:
+            self._items[kind].pop(key, None)
+        else:
+            self._items[kind][key] = item
+        self._changes.append((kind, Change(key, item, self.revision)))
+        for caller in list(self._watches):
+            self._answer_watch(caller, only_changes=True)
+
+    def fall_silent(self, ms: float) -> None:
+        """Answers nothing for a time; the calls in flight are lost."""
+        self.is_silent = True
+        self._watches.clear()
+        self._at(ms, self._speak)
+
+    def _speak(self) -> None:
+        self.is_silent = False
+
+    def call(
+        self,
+        caller: str,
+        call: commands.ListRange | commands.WatchRange,
+        deliver: Deliver,
+        *,
+        refused: bool,
+    ) -> None:
+        """Takes a call of a node; a refused one fails soon."""
+        self.calls += 1
+        key = (caller, call.range)
+        number = self._newest_call[key] = next(self._numbers)
+        self._watches.pop(key, None)
+
+        def fail() -> None:
+            if self._newest_call[key] == number:
+                self._watches.pop(key, None)
+                deliver(events.RangeFailed(call.range, False, "down"))
+
+        def answer() -> None:
+            if self._newest_call[key] != number or self.is_silent:
+                return
+            if isinstance(call, commands.ListRange):
+                self._newest_call[key] = 0
+                deliver(self._listed(call.range))
+                return
+            self._watches[key] = (call, deliver, number)
+            self._answer_watch(key, only_changes=True)
+            self._at(call.wait_ms, lambda: self._end_wait(key, number))
+
+        if refused:
+            self._at(_REFUSAL_MS, fail)
+            return
+        self._at(call.timeout_ms, fail)
+        if not self.is_silent:
+            self._at(_ANSWER_MS, answer)
+
+    def _listed(self, kind: Range) -> events.RangeListed:
+        items = dict(self._items[kind])
+        return events.RangeListed(
+            kind, items, self.revision, "", False, self.revision
+        )
+
+    def _end_wait(self, key: tuple[str, Range], number: int) -> None:
+        if self._newest_call[key] == number and not self.is_silent:
+            self._answer_watch(key, only_changes=False)
+
+    def _answer_watch(
+        self, key: tuple[str, Range], *, only_changes: bool
+    ) -> None:
+        waiting = self._watches.get(key)
+        if waiting is None:
+            return
+        call, deliver, number = waiting
+        changes = tuple(
+            change
+            for kind, change in self._changes
+            if kind is call.range and change.revision > call.revision
+        )
+        if only_changes and not changes:
+            return
+        del self._watches[key]
+        changed = events.RangeChanged(call.range, changes, self.revision)
+
+        def arrive() -> None:
+            if self._newest_call[key] == number and not self.is_silent:
+                self._newest_call[key] = 0
+                deliver(changed)
+
+        self._at(_ANSWER_MS, arrive)
