Log timers that fire late, with the processor time used meanwhile

No line told a process that is busy from one that does not run: deadlines fire in the same loop. timer_late names how late, and the processor time since the timer was set.

--- a/src/snipesaddle/_internal/daemon/forward_loop.py
+++ b/src/snipesaddle/_internal/daemon/forward_loop.py
@@ -14,6 +14,9 @@
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
 _NS_PER_S = 1_000_000_000
+_NS_PER_MS = 1_000_000
+# A timer that fires later than this is logged: deadlines were missed.
+_LATE_TIMER_NS = 100 * _NS_PER_MS
 
 
 class ForwardLoop:
@@ -32,6 +35,7 @@
         self._tick_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_ns = 0
+        self._timer_set_cpu_ns = 0
         world.inbox.set_wake_callback(self._on_event)
 
     def start(self) -> None:
@@ -63,13 +67,27 @@
         if due_ns is None:
             return
         self._timer_due_ns = due_ns
+        self._timer_set_cpu_ns = time.process_time_ns()
         delay_s = max(0.0, (due_ns - now_ns()) / _NS_PER_S)
         self._timer = self._loop.call_later(delay_s, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
+        self._log_if_late()
         self._on_event()
 
+    def _log_if_late(self) -> None:
+        late_ns = now_ns() - self._timer_due_ns
+        if late_ns < _LATE_TIMER_NS:
+            return
+        # Little processor time means that the process did not run.
+        cpu_ns = time.process_time_ns() - self._timer_set_cpu_ns
+        self._world.log(
+            "timer_late",
+            late_ms=late_ns // _NS_PER_MS,
+            cpu_ms=cpu_ns // _NS_PER_MS,
+        )
+
 
 def now_ns() -> int:
     """Returns the monotonic time."""
