Read long responses in turn

Cause: each connection read up to 256 KiB at once, as often as there was anything. 16 KiB in chunks of one byte take 850 us to parse, so a few of them filled the only thread, and the deadlines that would have ended them fired there as well. The limits count bytes, not time.

Change: at most 16 KiB in a read; a longer response pauses after each piece, and a pacer resumes the one that has taken least time so far, leaving four times as long to everything else. This bounds the share of all long responses, in whatever pieces, and lets sound long ones pass. The daemon's streams to leaves take turns too, where a piece was expensive.

--- a/src/snipesaddle/_internal/adapters/http1/client.py
+++ b/src/snipesaddle/_internal/adapters/http1/client.py
@@ -2,9 +2,14 @@
 
 import abc
 import asyncio
+import time
 from typing import cast
 
 from snipesaddle._internal.adapters import tcp_keepalive
+from snipesaddle._internal.adapters.http1.read_pacer import (
+    PacedConnection,
+    ReadPacer,
+)
 from snipesaddle._internal.adapters.http1.receive_budget import ReceiveBudget
 from snipesaddle._internal.adapters.http1.response_reader import (
     HttpResponse,
@@ -12,6 +17,9 @@
 )
 from snipesaddle._internal.models.forwarding import ResponseSettings
 
+# Parsing so many bytes takes at most about a millisecond, whatever they are.
+READ_BYTES = 16_384
+
 
 class ResponseListener(abc.ABC):
     """Receives the events of client connections."""
@@ -51,16 +59,22 @@
     Attributes:
       settings: the limits on each response.
       budget: the limit on the incomplete responses together.
+      pacer: the limit on the time that long responses take.
+      read_buffer: what one connection has just read; parsed before the next one
+        reads.
     """
 
     def __init__(self, settings: ResponseSettings) -> None:
         self.settings = settings
         self.budget = ReceiveBudget(settings.max_buffered_bytes)
+        self.pacer = ReadPacer()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol, PacedConnection):
     """A connection to a server.
 
+    A response that is longer than one read is read on in turn with the others.
     Bytes after a complete response, or a response to another request, make it
     unusable for further requests: its responses could be matched wrongly. A
     response over a limit ends it.
@@ -79,12 +93,15 @@
         self.requests_sent = 0
         self._listener = listener
         self._budget = intake.budget
+        self._pacer = intake.pacer
+        self._read_buffer = intake.read_buffer
         self._reader = ResponseReader(intake.settings)
         self._transport: asyncio.Transport | None = None
         self._busy = False
         self._desynchronized = False
         self._closed = False
         self._held_bytes = 0
+        self._spent_ns = 0
 
     @property
     def is_busy(self) -> bool:
@@ -101,6 +118,7 @@
         """Writes an encoded request; does nothing if the connection is lost."""
         self._busy = True
         self.requests_sent += 1
+        self._spent_ns = 0
         self._reader.start_request(is_head_request)
         if self._transport is not None:
             self._transport.write(data)
@@ -112,7 +130,15 @@
         if self._transport is not None:
             self._transport.abort()
 
-    # Callbacks of asyncio.Protocol.
+    def resume_reading(self) -> bool:
+        """Reads one piece; returns False if the connection has ended."""
+        transport = self._transport
+        if self._closed or transport is None or transport.is_closing():
+            return False
+        transport.resume_reading()
+        return True
+
+    # Callbacks of asyncio.BufferedProtocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop are not subclasses of asyncio.Transport.
@@ -130,12 +156,29 @@
             self._deliver()
         return False
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        del sizehint
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self._closed:
             return
         if not self._busy:
             self._fail("unexpected bytes")
             return
+        is_long = self._reader.received_bytes + nbytes >= READ_BYTES
+        started_ns = time.perf_counter_ns() if is_long else 0
+        self._receive(self._read_buffer[:nbytes])
+        if is_long and self._busy:
+            self._pause(time.perf_counter_ns() - started_ns)
+
+    def _pause(self, spent_ns: int) -> None:
+        assert self._transport is not None
+        self._transport.pause_reading()
+        self._spent_ns += spent_ns
+        self._pacer.wait_for_turn(self, spent_ns, self._spent_ns)
+
+    def _receive(self, data: memoryview) -> None:
         self._reader.feed(data)
         if self._reader.failure:
             self._desynchronized = True
--- a/src/snipesaddle/_internal/adapters/http1/response_reader.py
+++ b/src/snipesaddle/_internal/adapters/http1/response_reader.py
@@ -67,13 +67,18 @@
         """The received bytes of the response that is not complete."""
         return self._received_bytes if self.in_message else 0
 
+    @property
+    def received_bytes(self) -> int:
+        """The bytes received since the request was sent."""
+        return self._received_bytes
+
     def start_request(self, is_head_request: bool) -> None:
         """Prepares for the response to the next request."""
         self._is_head_request = is_head_request
         self._received_bytes = 0
         self._body_bytes = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses received bytes; sets `failure` if they cannot be read."""
         self._received_bytes += len(data)
         try:
--- a/src/snipesaddle/_internal/adapters/tcp_stream.py
+++ b/src/snipesaddle/_internal/adapters/tcp_stream.py
@@ -2,23 +2,53 @@
 
 import select
 import ssl
+import time
 import typing
 
 import anyio
 import httpcore
 from anyio.abc import SocketAttribute, SocketStream
 
+# A response is read in pieces that grow while they are cheap to parse.
+_MIN_PIECE_BYTES = 2_048
+_MAX_PIECE_BYTES = 65_536
+_CHEAP_PIECE_S = 0.001
+# For each unit of time that expensive pieces take, the event loop is left to
+# everything else for so many.
+_OTHERS_TIME_RATIO = 4
+
+
+class ReadTurns:
+    """Bounds the time that expensive responses on all streams take."""
+
+    def __init__(self) -> None:
+        self._free_at_s = 0.0
+
+    async def wait(self, spent_s: float) -> None:
+        """Waits for the turn of a stream, given what its last piece took."""
+        now_s = time.perf_counter()
+        self._free_at_s = (
+            max(now_s, self._free_at_s) + spent_s * _OTHERS_TIME_RATIO
+        )
+        await anyio.sleep(self._free_at_s - now_s)
+
+
+_TURNS = ReadTurns()
+
 
 class TcpStream(httpcore.AsyncNetworkStream):
     """Reads and writes through anyio.
 
     Timeouts of single operations are ignored: callers limit the time of the
-    whole request.
+    whole request. A response in tiny chunks without end would keep the event
+    loop busy, so streams whose pieces are expensive to parse read in turn.
     """
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
         raw_socket = stream.extra(SocketAttribute.raw_socket)
+        self._piece_bytes = _MIN_PIECE_BYTES
+        self._last_read_s = 0.0
         self._poll = select.poll()
         self._poll.register(raw_socket.fileno(), select.POLLIN)
 
@@ -37,18 +67,34 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Returns received bytes; empty at the end of the stream."""
         del timeout
+        await self._take_turn()
         try:
-            return await self._stream.receive(max_bytes)
+            return await self._stream.receive(min(max_bytes, self._piece_bytes))
         except anyio.EndOfStream:
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error)) from error
+        finally:
+            self._last_read_s = time.perf_counter()
+
+    async def _take_turn(self) -> None:
+        if not self._last_read_s:
+            return
+        # The last piece was parsed since it was read.
+        spent_s = time.perf_counter() - self._last_read_s
+        if spent_s < _CHEAP_PIECE_S:
+            self._piece_bytes = min(2 * self._piece_bytes, _MAX_PIECE_BYTES)
+            return
+        self._piece_bytes = _MIN_PIECE_BYTES
+        await _TURNS.wait(spent_s)
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends all bytes."""
         del timeout
         if not buffer:
             return
+        self._piece_bytes = _MIN_PIECE_BYTES
+        self._last_read_s = 0.0
         try:
             await self._stream.send(buffer)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
