--- a/src/snipesaddle/_internal/systems/forwarding/peer_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/peer_sync.py
@@ -94,5 +94,15 @@
         world.emit(
             SendToNode(record.peer_address, EndpointsShare(revision, entries))
         )
+        world.log(
+            "endpoints_to_peer",
+            peer=record.node_id,
+            revision=revision,
+            peer_revision=record.endpoints_revision,
+            endpoints=len(entries),
+            expired=sum(
+                not endpoint.registered for endpoint in world.endpoints.values()
+            ),
+        )
         sent = True
     return sent
