Send lagging nodes only registered endpoints

Cause: the list for a lagging node was made of all rows, with those that the store had removed and the sender only kept for a grace period, under a revision that includes their removal. The receiver took them for registered and passed over their removal as older than the list.

Change: the list has the registered endpoints only and the sender's recovery time, and what it lacks expires at the receiver by the rule for lists of the store. So a list says nothing that the store does not say at its revision.

--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -88,17 +88,13 @@
             return
         world.endpoints_revision = share.revision
         world.peer_list_revision = share.revision
+        world.store.record_peer_recovery(share.recovered_ago_ms, now_ns)
         known = set()
         for entry in share.entries:
             known.add(entry.endpoint_id)
             self._upsert(world, entry, now_ns)
         for endpoint_id in world.endpoints.keys() - known:
-            self._remove(
-                world,
-                world.endpoints[endpoint_id],
-                "missing from the list of a peer",
-                now_ns,
-            )
+            self._expire(world, world.endpoints[endpoint_id], now_ns)
         world.log(
             "endpoints_from_peer",
             revision=share.revision,
--- a/src/snipesaddle/_internal/systems/forwarding/following.py
+++ b/src/snipesaddle/_internal/systems/forwarding/following.py
@@ -36,7 +36,6 @@
 
 # The longest lag behind other nodes with which an idle node still follows.
 _MAX_LAG_NS = 1_000 * NS_PER_MS
-_NEVER_RECOVERED = -1
 
 
 def is_following(world: ForwardWorld, cache: RangeCache, now_ns: int) -> bool:
@@ -123,14 +122,11 @@
     """
     if event.range is not Range.ENDPOINTS or not event.changes:
         return
-    recovered_ns = world.store.recovered_ns
     message = EndpointChanges(
         after_revision=previous_revision,
         revision=event.revision,
         changes=tuple(map(_to_message, event.changes)),
-        recovered_ago_ms=(now_ns - recovered_ns) // NS_PER_MS
-        if recovered_ns
-        else _NEVER_RECOVERED,
+        recovered_ago_ms=world.store.recovered_ago_ms(now_ns),
     )
     _send_to_followers(world, message, now_ns)
 
@@ -199,10 +195,6 @@
         # the list of a peer closes it.
         if not message.after_revision <= cache.revision < message.revision:
             return
-        if message.recovered_ago_ms != _NEVER_RECOVERED:
-            recovered_ns = now_ns - message.recovered_ago_ms * NS_PER_MS
-            world.store.recovered_ns = max(
-                world.store.recovered_ns, recovered_ns
-            )
+        world.store.record_peer_recovery(message.recovered_ago_ms, now_ns)
         changes = map(_to_change, message.changes)
         queue_changes(world, cache, changes, message.revision)
--- a/src/snipesaddle/_internal/systems/forwarding/peer_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/peer_sync.py
@@ -89,20 +89,26 @@
         world.emit(SendToNode(record.peer_address, share))
         sent = True
     if _needs_endpoints(world, node, now_ns):
-        entries = tuple(endpoint.entry for endpoint in world.endpoints.values())
+        # Those kept for a grace period after an outage are not registered at
+        # this revision: the peer would take them for endpoints that are back,
+        # and miss their removal.
+        entries = tuple(
+            endpoint.entry
+            for endpoint in world.endpoints.values()
+            if endpoint.registered
+        )
         revision = world.endpoints_revision
-        world.emit(
-            SendToNode(record.peer_address, EndpointsShare(revision, entries))
+        endpoints_share = EndpointsShare(
+            revision, entries, world.store.recovered_ago_ms(now_ns)
         )
+        world.emit(SendToNode(record.peer_address, endpoints_share))
         world.log(
             "endpoints_to_peer",
             peer=record.node_id,
             revision=revision,
             peer_revision=record.endpoints_revision,
             endpoints=len(entries),
-            expired=sum(
-                not endpoint.registered for endpoint in world.endpoints.values()
-            ),
+            expired=len(world.endpoints) - len(entries),
         )
         sent = True
     return sent
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -9,6 +9,9 @@
 
 from snipesaddle._internal.tables.forwarding.endpoints import EndpointEntry
 from snipesaddle._internal.tables.forwarding.fleet import NodeRecord
+from snipesaddle._internal.tables.forwarding.store_ranges import (
+    NEVER_RECOVERED,
+)
 
 
 class NodeBeat(msgspec.Struct, frozen=True, array_like=True):
@@ -39,10 +42,14 @@
 
     Attributes:
       revision: the store revision up to which the list is complete.
+      entries: the registrations in the store at that revision.
+      recovered_ago_ms: how long ago the store became reachable again for the
+        sender; NEVER_RECOVERED if it was never out of reach.
     """
 
     revision: int
     entries: tuple[EndpointEntry, ...]
+    recovered_ago_ms: int = NEVER_RECOVERED
 
 
 class EndpointChange(msgspec.Struct, frozen=True, array_like=True):
@@ -66,7 +73,7 @@
       after_revision: all changes after this revision are included.
       revision: all changes up to this revision are included.
       recovered_ago_ms: how long ago the store became reachable again for the
-        sender; -1 for never.
+        sender; NEVER_RECOVERED if it was never out of reach.
     """
 
     after_revision: int
--- a/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
+++ b/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
@@ -97,6 +97,11 @@
     overdue: bool = False
 
 
+# How long ago the store recovered, if it was never out of reach.
+NEVER_RECOVERED = -1
+_NS_PER_MS = 1_000_000
+
+
 @dataclass(slots=True)
 class StoreHealth:
     """Whether the store is reachable from this node.
@@ -116,3 +121,15 @@
     def is_ok(self) -> bool:
         """Whether the store is reachable."""
         return self.lost_since_ns == 0
+
+    def recovered_ago_ms(self, now_ns: int) -> int:
+        """Returns how long ago it recovered, or NEVER_RECOVERED."""
+        if not self.recovered_ns:
+            return NEVER_RECOVERED
+        return (now_ns - self.recovered_ns) // _NS_PER_MS
+
+    def record_peer_recovery(self, recovered_ago_ms: int, now_ns: int) -> None:
+        """Records when it recovered for a peer, if that was later."""
+        if recovered_ago_ms != NEVER_RECOVERED:
+            recovered_ns = now_ns - recovered_ago_ms * _NS_PER_MS
+            self.recovered_ns = max(self.recovered_ns, recovered_ns)
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -63,6 +63,7 @@
       message_loss_ratio: share of the messages between nodes that are lost.
       store_is_down: calls to the store fail.
       cut_off: nodes that reach neither the store nor other nodes.
+      without_store: nodes that do not reach the store.
       rate_limits: the requests a second that endpoints name as their limit, by
         endpoint id.
     """
@@ -74,11 +75,12 @@
     message_loss_ratio: float = 0.0
     store_is_down: bool = False
     cut_off: frozenset[str] = frozenset()
+    without_store: frozenset[str] = frozenset()
     rate_limits: dict[str, float] = field(default_factory=dict)
 
-    def without_store(self, name: str) -> bool:
+    def fails_store_calls(self, name: str) -> bool:
         """Returns whether a node's calls to the store fail."""
-        return self.store_is_down or name in self.cut_off
+        return self.store_is_down or name in self.cut_off | self.without_store
 
 
 @dataclass
@@ -189,6 +191,11 @@
         self._config = replace(self._config, version=version, source=source)
         self.store.put(Range.CONFIG, "config", self._config)
 
+    def add_endpoint(self, item: EndpointEntry) -> None:
+        """Registers one more endpoint."""
+        self._entry_by_address[item.address] = item
+        self.store.put(Range.ENDPOINTS, item.endpoint_id, item)
+
     def kill(self, name: str) -> None:
         """Ends a node's process, which closes its connections."""
         run = self.running.pop(name, None)
@@ -269,13 +276,13 @@
             f"{run.name} {run.world.this_node.incarnation}",
             call,
             lambda event: self._deliver(run, event),
-            refused=self.faults.without_store(run.name),
+            refused=self.faults.fails_store_calls(run.name),
         )
 
     def _write_presence(
         self, run: Running, command: commands.WritePresence
     ) -> None:
-        if self.faults.without_store(run.name):
+        if self.faults.fails_store_calls(run.name):
             self._later(run, 50, events.PresenceFailed(False, "down"))
             return
         if self.store.is_silent:
--- a/tests/unit/forwarding/test_store.py
+++ b/tests/unit/forwarding/test_store.py
@@ -132,6 +132,31 @@
     assert [e.endpoint_id for e in endpoints.entries] == ["f1"]
 
 
+# The peer took it for registered, and skipped its removal as older (review 4).
+def test_a_peer_is_sent_no_endpoint_that_the_store_has_removed(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.change(Range.ENDPOINTS, "f2", entry("f2", "file"), 11)
+    lose_store(ticks)
+    ticks.change(Range.ENDPOINTS, "f1", None, 12)
+    assert set(ticks.world.endpoints) == {"f1", "f2"}
+    ticks.beat("e2", store_ok=False, endpoints_revision=10)
+    (share,) = ticks.sent_to_nodes(EndpointsShare)
+    assert share.revision == 12
+    assert [e.endpoint_id for e in share.entries] == ["f2"]
+    assert share.recovered_ago_ms == 0
+
+
+# Its endpoints are not lost to the peer while they may be back soon.
+def test_a_list_of_a_peer_starts_the_grace_period_of_what_it_lacks(
+    ticks: ForwardTicks,
+) -> None:
+    ticks.tick(EndpointsShare(99, (entry("f9", "file"),), 200))
+    assert set(ticks.world.endpoints) == {"f1", "f9"}
+    ticks.advance(ticks.world.settings.store.grace_ms, 100)
+    assert set(ticks.world.endpoints) == {"f9"}
+
+
 def test_endpoints_come_from_a_peer_while_the_store_is_lost(
     ticks: ForwardTicks,
 ) -> None:
