Count what incomplete responses hold

Report of other operators: bytes without end, in a head or a body, filled the memory of the machine that had called, and the requests of others ended with it. Here the limits counted the bytes on the wire; headers of five bytes took 13.2 times that in memory, chunks of 2 bytes 6.2 times (measured on the reader), so 64 MiB counted could be 416 MB held. The daemon had no limit on the bodies of all calls together.

Cause: each header was kept as three objects and each chunk as one.

Change: a body is one growing array, a header counts 160 bytes more, in the limit on the head and in the sum. The daemon's calls share one limit.

Tests: test_what_is_held_is_what_is_counted, three of five kinds failed before; test_many_calls_of_the_daemon_stay_within_the_sum, new with the limit. 49 functional tests of clients and paths pass.

--- a/src/snipesaddle/_internal/adapters/http1/response_reader.py
+++ b/src/snipesaddle/_internal/adapters/http1/response_reader.py
@@ -10,6 +10,8 @@
 _NO_BODY_STATUSES = frozenset({204, 304})
 # A chunk of one byte takes five more bytes on the wire.
 _MAX_FRAMING_BYTES_PER_BODY_BYTE = 5
+# What a header takes in memory beyond its bytes.
+_HEADER_OVERHEAD_BYTES = 160
 # Longer numbers exceed any limit and are slow to convert.
 _MAX_LENGTH_DIGITS = 18
 
@@ -59,13 +61,23 @@
         self._has_known_length = False
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._responses: list[ReceivedResponse] = []
 
     @property
     def buffered_bytes(self) -> int:
-        """The received bytes of the response that is not complete."""
-        return self._received_bytes if self.in_message else 0
+        """What is held of the response that is not complete.
+
+        The received bytes, and what the headers take besides; a body is held in
+        one piece, so that tiny chunks take no more.
+        """
+        if not self.in_message:
+            return 0
+        return self._received_bytes + self._header_overhead_bytes
+
+    @property
+    def _header_overhead_bytes(self) -> int:
+        return len(self._headers) * _HEADER_OVERHEAD_BYTES
 
     @property
     def received_bytes(self) -> int:
@@ -85,7 +97,11 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail("malformed response")
-        framing_bytes = self._received_bytes - self._body_bytes
+        framing_bytes = (
+            self._received_bytes
+            - self._body_bytes
+            + self._header_overhead_bytes
+        )
         max_framing_bytes = (
             self._settings.max_head_bytes
             + self._body_bytes * _MAX_FRAMING_BYTES_PER_BODY_BYTE
@@ -121,7 +137,7 @@
         self._has_known_length = False
         self._reason = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
 
     def on_status(self, status: bytes) -> None:
         self._reason += status
@@ -149,7 +165,7 @@
         if self._body_bytes > self._settings.max_body_bytes:
             self._fail("response body over the limit")
         if not self.failure:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         if self.in_message:
@@ -170,7 +186,7 @@
         if self.failure or 100 <= status < 200:
             return
         response = HttpResponse(
-            status, self._reason, tuple(self._headers), b"".join(self._body)
+            status, self._reason, tuple(self._headers), bytes(self._body)
         )
         self._responses.append(ReceivedResponse(response, keep_alive))
 
--- a/src/snipesaddle/_internal/adapters/http_client.py
+++ b/src/snipesaddle/_internal/adapters/http_client.py
@@ -9,6 +9,7 @@
 
 import httpcore
 
+from snipesaddle._internal.adapters.http1.receive_budget import ReceiveBudget
 from snipesaddle._internal.adapters.tcp_stream import TcpStream
 
 # Raised when a request was not sent in full or its response was lost.
@@ -17,6 +18,9 @@
 Headers = list[tuple[bytes, bytes]]
 # httpcore itself limits the size of the head.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# The incomplete bodies on all connections of the process.
+_buffered = ReceiveBudget(_MAX_BUFFERED_BYTES)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +46,7 @@
         ]
         self._urls: dict[str, httpcore.URL] = {}
         self._http: httpcore.AsyncHTTP11Connection | None = None
+        self._is_given_up = False
 
     async def get(self, path: str) -> HttpReply:
         """Sends a GET request; raises the errors of `send`."""
@@ -90,7 +95,7 @@
         http = await self._connect()
         response = await http.handle_async_request(request)
         try:
-            content = await _read_body(response)
+            content = await self._read_body(response)
         finally:
             await response.aclose()
         return HttpReply(response.status, content)
@@ -108,11 +113,19 @@
         # sent on it.
         return http.is_available() and not http.has_expired()
 
-
-async def _read_body(response: httpcore.Response) -> bytes:
-    content = bytearray()
-    async for piece in response.aiter_stream():
-        content += piece
-        if len(content) > _MAX_BODY_BYTES:
-            raise httpcore.RemoteProtocolError("response body over the limit")
-    return bytes(content)
+    async def _read_body(self, response: httpcore.Response) -> bytes:
+        content = bytearray()
+        self._is_given_up = False
+        try:
+            async for piece in response.aiter_stream():
+                content += piece
+                largest = _buffered.update(self, len(content))
+                if isinstance(largest, HttpConnection):
+                    largest._is_given_up = True
+                if self._is_given_up or len(content) > _MAX_BODY_BYTES:
+                    raise httpcore.RemoteProtocolError(
+                        "response body over the limit"
+                    )
+        finally:
+            _buffered.update(self, 0)
+        return bytes(content)
--- a/src/snipesaddle/_internal/models/forwarding.py
+++ b/src/snipesaddle/_internal/models/forwarding.py
@@ -143,7 +143,7 @@
 
     Attributes:
       max_head_bytes: status line, headers, interim responses, chunk headers and
-        trailers of one response.
+        trailers of one response; each header counts 160 bytes more.
       max_body_bytes: body of one response.
       max_buffered_bytes: incomplete responses on all connections together.
     """
--- a/tests/functional/test_endless_responses.py
+++ b/tests/functional/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Servers that send without end, or send a second copy of an answer late."""
 
 import asyncio
+import tracemalloc
 from pathlib import Path
 
 import anyio
@@ -9,6 +10,7 @@
 from standins.endless import EndlessServer
 from standins.forwarding import ForwardTicks, entry, pass_route
 
+from snipesaddle._internal.adapters import http_client
 from snipesaddle._internal.adapters.http1.client import (
     ClientConnection,
     ResponseIntake,
@@ -16,7 +18,10 @@
     connect,
 )
 from snipesaddle._internal.adapters.http1.receive_budget import ReceiveBudget
-from snipesaddle._internal.adapters.http1.response_reader import HttpResponse
+from snipesaddle._internal.adapters.http1.response_reader import (
+    HttpResponse,
+    ResponseReader,
+)
 from snipesaddle._internal.adapters.http_client import HttpConnection
 from snipesaddle._internal.models.forwarding import ResponseSettings
 from snipesaddle._internal.tables.forwarding import commands, events
@@ -32,6 +37,7 @@
 )
 # What one read of the event loop may add before a limit is checked.
 READ_BYTES = 300_000
+COUNTED_BYTES = 1_000_000
 OK = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -134,6 +140,32 @@
     await connection.aclose()
 
 
+# Each call was limited, but not all of them together.
+async def test_many_calls_of_the_daemon_stay_within_the_sum(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    budget = ReceiveBudget(LIMITS.max_buffered_bytes)
+    monkeypatch.setattr(http_client, "_buffered", budget)
+    slow = EndlessServer(OK + b"Content-Length: 90000\r\n\r\n", b"z" * 80_000)
+    connections = [HttpConnection(await slow.listen()) for _ in range(5)]
+    failed = []
+
+    async def call(connection: HttpConnection) -> None:
+        try:
+            await connection.get("/v1/health")
+        except httpcore.ProtocolError as error:
+            failed.append(error)
+
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            for connection in connections:
+                group.start_soon(call, connection)
+    for connection in connections:
+        await connection.aclose()
+    assert failed
+    assert budget.total_bytes == 0
+
+
 async def test_many_servers_at_once_stay_within_the_sum() -> None:
     slow = EndlessServer(OK + b"Content-Length: 90000\r\n\r\n", b"z" * 80_000)
     address = await slow.listen()
@@ -200,6 +232,37 @@
         self.responses += 1
 
 
+# Tiny pieces took up to thirteen times the memory that was counted.
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (OK, b"a:b\r\n"),
+        (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nz\r\n"),
+        (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\nzz\r\n"),
+        (
+            OK + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"10\r\n%b\r\n" % bytes(16),
+        ),
+        (OK + b"\r\n", b"z" * 100),
+    ],
+    ids=["headers", "chunks-1", "chunks-2", "chunks-16", "body"],
+)
+def test_what_is_held_is_what_is_counted(start: bytes, piece: bytes) -> None:
+    tracemalloc.start()
+    try:
+        reader = ResponseReader(ResponseSettings())
+        reader.start_request(False)
+        reader.feed(start)
+        while not reader.failure and reader.buffered_bytes < COUNTED_BYTES:
+            counted_bytes = reader.buffered_bytes
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            reader.feed(piece * (1_000 // len(piece)))
+        # The parser and the growth of lists and arrays take some more.
+        assert held_bytes < 1.5 * counted_bytes + 20_000
+    finally:
+        tracemalloc.stop()
+
+
 async def test_a_closed_connection_holds_nothing() -> None:
     second = OK + b"Content-Length: 90000\r\n\r\n" + b"z" * 1_000
     server = EndlessServer(OK + b"Content-Length: 0\r\n\r\n" + second, b"z")
