Split the choice of an idle connection, and check followers less often

Cause: read again as a newcomer: acquire did three things in one loop; the check for overdue data ranked all nodes four times a second also on nodes that follow others, which have no watch that could be overdue, so its cost would have grown with the fleet.

Change: _take_idle takes a connection that may carry the request; the check looks at waiting ranges first. Behaviour is the same but for the interval of the check on nodes without such a watch, 0.5 s.

--- a/src/snipesaddle/_internal/adapters/tcp_stream.py
+++ b/src/snipesaddle/_internal/adapters/tcp_stream.py
@@ -33,7 +33,8 @@
         await anyio.sleep(self._free_at_s - now_s)
 
 
-_TURNS = ReadTurns()
+# Of all streams of the process.
+_turns = ReadTurns()
 
 
 class TcpStream(httpcore.AsyncNetworkStream):
@@ -86,7 +87,7 @@
             self._piece_bytes = min(2 * self._piece_bytes, _MAX_PIECE_BYTES)
             return
         self._piece_bytes = _MIN_PIECE_BYTES
-        await _TURNS.wait(spent_s)
+        await _turns.wait(spent_s)
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends all bytes."""
--- a/src/snipesaddle/_internal/systems/forwarding/confirmation.py
+++ b/src/snipesaddle/_internal/systems/forwarding/confirmation.py
@@ -31,6 +31,8 @@
 _STAGGER_NS = 250 * NS_PER_MS
 _MAX_STAGGERS = 5
 _OVERDUE_CHECK_NS = 250 * NS_PER_MS
+# The same while no watch of these ranges waits, as on a node that follows.
+_IDLE_CHECK_NS = 500 * NS_PER_MS
 
 
 def watch_wait_ms(world: ForwardWorld, cache: RangeCache, now_ns: int) -> int:
@@ -69,7 +71,10 @@
 
 def next_check_ns(world: ForwardWorld, now_ns: int) -> int:
     """Returns when a range may be overdue at the earliest."""
-    oldest_ns = min(_confirmed_ns(world, kind) for kind in _CONFIRMED_RANGES)
+    waiting = _waiting_ranges(world)
+    if not waiting:
+        return now_ns + _IDLE_CHECK_NS
+    oldest_ns = min(_confirmed_ns(world, cache) for cache in waiting)
     due_ns = oldest_ns + _max_age_ns(world, now_ns)
     return max(due_ns, now_ns + _OVERDUE_CHECK_NS)
 
@@ -81,12 +86,14 @@
       The ranges marked. The one of the nodes is not confirmed by itself, and is
       marked with any other.
     """
+    waiting = _waiting_ranges(world)
+    if not waiting:
+        return []
     max_age_ns = _max_age_ns(world, now_ns)
     overdue = [
-        world.range_caches[kind]
-        for kind in _CONFIRMED_RANGES
-        if world.range_caches[kind].waits
-        and now_ns >= _confirmed_ns(world, kind) + max_age_ns
+        cache
+        for cache in waiting
+        if now_ns >= _confirmed_ns(world, cache) + max_age_ns
     ]
     if not overdue:
         return []
@@ -102,10 +109,13 @@
     return overdue
 
 
-def _confirmed_ns(world: ForwardWorld, kind: Range) -> int:
-    return max(
-        world.range_caches[kind].confirmed_ns, world.store.peer_confirmed_ns
-    )
+def _waiting_ranges(world: ForwardWorld) -> list[RangeCache]:
+    caches = (world.range_caches[kind] for kind in _CONFIRMED_RANGES)
+    return [cache for cache in caches if cache.waits]
+
+
+def _confirmed_ns(world: ForwardWorld, cache: RangeCache) -> int:
+    return max(cache.confirmed_ns, world.store.peer_confirmed_ns)
 
 
 def _max_age_ns(world: ForwardWorld, now_ns: int) -> int:
--- a/src/snipesaddle/_internal/systems/forwarding/connections.py
+++ b/src/snipesaddle/_internal/systems/forwarding/connections.py
@@ -58,29 +58,34 @@
     sends of a request have the same id, so a late second copy of the answer to
     an earlier one could not be told from the answer to this one.
     """
-    used: list[EndpointConnection] = []
-    acquired = None
-    while endpoint.idle_connection_ids and acquired is None:
-        connection = world.connections[endpoint.idle_connection_ids.pop()]
-        if not _is_reusable(connection, now_ns, request.route.idempotent):
-            discard(world, connection)
-            world.emit(CloseConnection(connection.connection_id))
-        elif connection.has_carried(request.arrived.client_request_id):
-            used.append(connection)
-        else:
-            acquired = connection
-    endpoint.idle_connection_ids.extend(
-        connection.connection_id for connection in reversed(used)
-    )
-    if acquired is not None:
-        acquired.state = ConnectionState.BUSY
-        acquired.attempt_id = attempt_id
-        return acquired
-    if used and endpoint.connection_count >= connection_quota(world, endpoint):
-        _close(world, [used[-1].connection_id])
+    connection = _take_idle(world, endpoint, request, now_ns)
+    if connection is not None:
+        connection.state = ConnectionState.BUSY
+        connection.attempt_id = attempt_id
+        return connection
+    # All that are still idle have carried the request.
+    if endpoint.connection_count >= connection_quota(world, endpoint):
+        _close(world, endpoint.idle_connection_ids[:1])
     return _open(world, endpoint, attempt_id, now_ns)
 
 
+def _take_idle(
+    world: ForwardWorld, endpoint: Endpoint, request: Request, now_ns: int
+) -> EndpointConnection | None:
+    """Removes an idle connection that may carry a request from the pool.
+
+    The most recently used one comes first; unusable ones are closed.
+    """
+    for connection_id in reversed(tuple(endpoint.idle_connection_ids)):
+        connection = world.connections[connection_id]
+        if not _is_reusable(connection, now_ns, request.route.idempotent):
+            _close(world, [connection_id])
+        elif not connection.has_carried(request.arrived.client_request_id):
+            endpoint.idle_connection_ids.remove(connection_id)
+            return connection
+    return None
+
+
 def release(
     world: ForwardWorld,
     connection: EndpointConnection,
