Silence the store beside changes in the soak

Its watches did not end after the time asked for either, which real ones do, so the confirming node's watches of 1.5 s failed there in place of being answered.

Change: the stand-in of the store ends watches and can fall silent; the soak publishes and silences it up to 0.5 s later, for 0.3 to 4 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,9 @@
 Nodes run as processes; leafs, the store and the proxies before them are
 stand-ins here. Faults come in lanes that overlap: nodes are killed, paused,
 stopped and started; connections are cut, silenced, delayed, or lose what comes
-back; the store goes away; leafs say in their answers that they leave. Promises
-are checked from what clients and leafs see. Exit status 1 if one was broken.
+back; the store goes away, or is silent beside changes; leafs say in their
+answers that they leave. Promises are checked from what clients and leafs see.
+Exit status 1 if one was broken.
 """
 
 import argparse
@@ -274,6 +275,7 @@
             self._harm_leaf,
             self._fill_leafs,
             self._store_away,
+            self._store_silent,
             self._change,
             self._reload,
         )
@@ -392,6 +394,20 @@
         await anyio.sleep(rng.uniform(0.2, 1.5))
         self.site.store.down = False
 
+    async def _store_silent(self, rng: random.Random) -> None:
+        """Silences the store beside changes, which must be known soon after.
+
+        The watches that a change wakes are sent again in the silence.
+        """
+        if self.site.store.silent:
+            return
+        self.faults.append(f"store silent, publish {self.version + 1}")
+        self._publish()
+        await anyio.sleep(rng.uniform(0.0, 0.5))
+        self.site.store.fall_silent()
+        await anyio.sleep(rng.uniform(0.3, 4.0))
+        self.site.store.silent = False
+
     async def _change(self, rng: random.Random) -> None:
         del rng
         self.faults.append(f"publish {self.version + 1}")
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -18,7 +18,12 @@
 
 
 class StoreStandIn(RequestHandler):
-    """Keys with revisions, ranges, watches and leases; no time-outs."""
+    """Keys with revisions, ranges, watches and leases.
+
+    Attributes:
+      down: all calls are answered 503.
+      silent: no call is answered, those that wait included, also not later.
+    """
 
     def __init__(self) -> None:
         self.server = HttpServer(self)
@@ -26,7 +31,8 @@
         self.history: list[dict[str, Any]] = []
         self.revision = 1
         self.down = False
-        self._waiting: list[tuple[int, str, int]] = []
+        self.silent = False
+        self._waiting: list[_Watch] = []
         self._leases = itertools.count(7)
 
     def put(self, key: str, value: object) -> None:
@@ -50,7 +56,14 @@
         gone = {"key": key, "revision": self.revision, "removed": True}
         self._tell(gone)
 
+    def fall_silent(self) -> None:
+        """Answers nothing from now on, until `silent` is reset."""
+        self.silent = True
+        self._waiting.clear()
+
     def on_request(self, client_id: int, request: HttpRequest) -> None:
+        if self.silent:
+            return
         if self.down:
             self._answer(client_id, 503, {})
             return
@@ -68,7 +81,7 @@
         handlers[verb](client_id, fields, request.body)
 
     def on_disconnect(self, client_id: int) -> None:
-        self._waiting = [w for w in self._waiting if w[0] != client_id]
+        self._waiting = [w for w in self._waiting if w.client_id != client_id]
 
     def _range(
         self, client_id: int, fields: dict[str, str], body: bytes
@@ -91,9 +104,16 @@
         self, client_id: int, fields: dict[str, str], body: bytes
     ) -> None:
         del body
-        after = int(fields["after"])
-        self._waiting.append((client_id, fields["prefix"], after))
+        watch = _Watch(client_id, fields["prefix"], int(fields["after"]))
+        self._waiting.append(watch)
         self._settle()
+        wait_s = int(fields["wait_ms"]) / 1_000
+        asyncio.get_running_loop().call_later(wait_s, self._end_wait, watch)
+
+    def _end_wait(self, watch: "_Watch") -> None:
+        # Compared by identity: a connection may carry the same watch again.
+        if any(waiting is watch for waiting in self._waiting):
+            self._answer_watch(watch, [])
 
     def _write(
         self, client_id: int, fields: dict[str, str], body: bytes
@@ -122,17 +142,22 @@
         self._settle()
 
     def _settle(self) -> None:
-        for waiting in list(self._waiting):
-            client_id, prefix, after = waiting
+        for watch in list(self._waiting):
             events = [
                 event
                 for event in self.history
-                if event["revision"] > after and event["key"].startswith(prefix)
+                if event["revision"] > watch.after
+                and event["key"].startswith(watch.prefix)
             ]
             if events:
-                self._waiting.remove(waiting)
-                reply = {"events": events, "store_revision": self.revision}
-                self._answer(client_id, 200, reply)
+                self._answer_watch(watch, events)
+
+    def _answer_watch(
+        self, watch: "_Watch", events: list[dict[str, Any]]
+    ) -> None:
+        self._waiting = [w for w in self._waiting if w is not watch]
+        reply = {"events": events, "store_revision": self.revision}
+        self._answer(watch.client_id, 200, reply)
 
     def _answer(self, client_id: int, status: int, body: object) -> None:
         content = encode(body)
@@ -143,6 +168,15 @@
         self.server.respond(client_id, status, b"OK", headers, content)
 
 
+@dataclass(eq=False)
+class _Watch:
+    """A watch that waits for changes after a revision."""
+
+    client_id: int
+    prefix: str
+    after: int
+
+
 @dataclass
 class LeafStandIn(RequestHandler):
     """A leaf that answers with its own records, and counts its runs."""
