Hand over connection shares to nodes that start

Change: a node that starts tells all others, opens no connection and is not ready until they have answered and none holds connections above its share; one that does tells it when the last such request has ended (HandoverSystem). Records carry the state. A node that gives no answer within 0.25 s is taken for one that is down, so restarts of many nodes do not wait for each other.

Ruled out: waiting for silent nodes, which would keep a node that starts after a crash from serving.

The simulated fleet can freeze nodes and let them leave.

--- a/src/snipesaddle/_internal/systems/forwarding/connections.py
+++ b/src/snipesaddle/_internal/systems/forwarding/connections.py
@@ -15,6 +15,7 @@
     Endpoint,
     EndpointConnection,
 )
+from snipesaddle._internal.tables.forwarding.fleet import ShareState
 from snipesaddle._internal.tables.forwarding.requests import Request
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
@@ -31,7 +32,12 @@
 
 
 def connection_quota(world: ForwardWorld, endpoint: Endpoint) -> int:
-    """Returns how many connections this node may hold to an endpoint."""
+    """Returns how many connections this node may hold to an endpoint.
+
+    None until the other nodes have handed over its share.
+    """
+    if world.fleet.shares is ShareState.NONE:
+        return 0
     service = world.active_config.config.services.get(endpoint.entry.service)
     limit = service.max_connections if service else _DEFAULT_MAX_CONNECTIONS
     usable = limit * _USED_LIMIT_RATIO
@@ -115,11 +121,33 @@
 
 
 def close_excess(world: ForwardWorld) -> None:
-    """Closes the idle connections above this node's share."""
+    """Closes the idle connections above this node's share.
+
+    Endpoints to which more remain, as requests run on them, are noted.
+    """
     for endpoint in world.endpoints.values():
-        excess = endpoint.connection_count - connection_quota(world, endpoint)
+        quota = connection_quota(world, endpoint)
+        excess = endpoint.connection_count - quota
         if excess > 0:
             _close(world, endpoint.idle_connection_ids[:excess])
+        if endpoint.connection_count > quota:
+            world.fleet.excess_endpoint_ids[endpoint.endpoint_id] = None
+
+
+def exceeds_quota(world: ForwardWorld, endpoint_id: str) -> bool:
+    """Returns whether this node holds more connections than its share."""
+    endpoint = world.endpoints.get(endpoint_id)
+    return (
+        endpoint is not None
+        and endpoint.connection_count > connection_quota(world, endpoint)
+    )
+
+
+def wake_waiting(world: ForwardWorld) -> None:
+    """Lets all parts that wait for a connection try again."""
+    for service, pool in world.pools.items():
+        if pool.waiting:
+            world.freed_services[service] = None
 
 
 def discard(world: ForwardWorld, connection: EndpointConnection) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -25,6 +25,7 @@
 from snipesaddle._internal.tables.forwarding.fleet import (
     NodeRecord,
     PeerNode,
+    ShareState,
 )
 from snipesaddle._internal.tables.forwarding.messages import (
     NodeBeat,
@@ -121,6 +122,7 @@
         if world.fleet.own_record_seen and not had_seen_own_record:
             # Nodes that read the records before do not know of this one.
             announce(world, now_ns)
+            world.fleet.announced_ns = now_ns
         beats = world.inbox.take(NodeBeat)
         containment.run_each(world, beats, self._on_beat, now_ns)
         for _ in world.timers.pop_due(TimerKind.FLEET_HEARTBEAT, now_ns):
@@ -227,6 +229,8 @@
                 self._on_record(world, record, now_ns)
         confirmation.record_peer(world, beat.node, now_ns)
         node = fleet.nodes[beat.node.node_id]
+        if beat.node.shares is ShareState.NONE:
+            fleet.unanswered_nodes.append(node)
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
 
     def _on_record(
--- /dev/null
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -0,0 +1,116 @@
+"""Handover: how a node that starts gets its share of the connections.
+
+Answers the load pattern of a fleet that grows under load: the shares of the
+nodes that are there shrink at once, but requests still run on the connections
+above them. So a node that starts opens no connection until the others have
+been told of it and have none left above their shares; one whose last request
+of this kind has ended tells the nodes that wait. The records of the nodes are
+written before they are read, so each node knows those that started before it,
+and the sum of the connections stays within the limit.
+
+A node that does not answer soon is assumed to be down, and its connections to
+be closed: a restart of many nodes must not keep the first ones from serving.
+"""
+
+from snipesaddle._internal.systems.forwarding import (
+    activity,
+    connections,
+    fleet,
+)
+from snipesaddle._internal.systems.forwarding.presence import this_node_record
+from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
+from snipesaddle._internal.tables.forwarding.commands import SendToNode
+from snipesaddle._internal.tables.forwarding.fleet import (
+    PeerNode,
+    ShareState,
+)
+from snipesaddle._internal.tables.forwarding.messages import NodeBeat
+from snipesaddle._internal.tables.forwarding.world import ForwardWorld
+from snipesaddle._internal.tables.timers import TimerKind
+
+_HANDOVER = "handover"
+# A node that is up answers sooner, also from another region.
+_MAX_ANSWER_NS = 250 * NS_PER_MS
+# After this time without the size of the fleet, nobody can tell it.
+_MAX_UNKNOWN_SIZE_NS = 2_000 * NS_PER_MS
+
+
+class HandoverSystem(TickSystem[ForwardWorld]):
+    """Takes this node's share when it is free, and frees those of others."""
+
+    def start(self, world: ForwardWorld, now_ns: int) -> None:
+        due_ns = now_ns + _MAX_UNKNOWN_SIZE_NS
+        world.timers.set(TimerKind.SHARE_HANDOVER, _HANDOVER, due_ns)
+
+    def run(self, world: ForwardWorld, now_ns: int) -> None:
+        world.timers.pop_due(TimerKind.SHARE_HANDOVER, now_ns)
+        if world.fleet.shares is ShareState.NONE:
+            _take_when_free(world, now_ns)
+        elif world.fleet.excess_endpoint_ids:
+            _update_excess(world, now_ns)
+        _answer_started_nodes(world, now_ns)
+
+
+def _take_when_free(world: ForwardWorld, now_ns: int) -> None:
+    this_fleet = world.fleet
+    waited_ns = now_ns - world.this_node.started_ns
+    if this_fleet.recent_max_size and not this_fleet.announced_ns:
+        fleet.announce(world, now_ns)
+        this_fleet.announced_ns = now_ns
+    if this_fleet.announced_ns:
+        nodes = this_fleet.nodes.values()
+        if any(_blocks(world, node, now_ns) for node in nodes):
+            due_ns = this_fleet.announced_ns + _MAX_ANSWER_NS
+            if due_ns > now_ns:
+                world.timers.set(TimerKind.SHARE_HANDOVER, _HANDOVER, due_ns)
+            return
+    elif waited_ns < _MAX_UNKNOWN_SIZE_NS:
+        return
+    this_fleet.shares = ShareState.KEPT
+    connections.wake_waiting(world)
+    world.log(
+        "shares_taken",
+        fleet_size=this_fleet.recent_max_size,
+        waited_ms=waited_ns // NS_PER_MS,
+    )
+
+
+def _blocks(world: ForwardWorld, node: PeerNode, now_ns: int) -> bool:
+    """Returns whether a node may still use a part of this one's share."""
+    announced_ns = world.fleet.announced_ns
+    if node.last_heard_ns < announced_ns:
+        return now_ns - announced_ns < _MAX_ANSWER_NS
+    return node.record.shares is ShareState.EXCEEDED and activity.is_live(
+        world, node, now_ns
+    )
+
+
+def _update_excess(world: ForwardWorld, now_ns: int) -> None:
+    """Tells the nodes that wait once no connection is above the share."""
+    this_fleet = world.fleet
+    for endpoint_id in list(this_fleet.excess_endpoint_ids):
+        if not connections.exceeds_quota(world, endpoint_id):
+            del this_fleet.excess_endpoint_ids[endpoint_id]
+    if this_fleet.excess_endpoint_ids:
+        this_fleet.shares = ShareState.EXCEEDED
+        return
+    was_exceeded = this_fleet.shares is ShareState.EXCEEDED
+    this_fleet.shares = ShareState.KEPT
+    if was_exceeded:
+        for node in this_fleet.nodes.values():
+            if node.record.shares is ShareState.NONE:
+                _tell(world, node, now_ns)
+
+
+def _answer_started_nodes(world: ForwardWorld, now_ns: int) -> None:
+    """Answers each node that has told of itself and waits for its share."""
+    for node in world.fleet.unanswered_nodes:
+        if node.answered_incarnation != node.record.incarnation:
+            node.answered_incarnation = node.record.incarnation
+            _tell(world, node, now_ns)
+    world.fleet.unanswered_nodes.clear()
+
+
+def _tell(world: ForwardWorld, node: PeerNode, now_ns: int) -> None:
+    beat = NodeBeat(this_node_record(world, now_ns))
+    world.emit(SendToNode(node.record.peer_address, beat))
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -42,6 +42,7 @@
         attempts_per_s=world.fleet.attempts_per_s,
         fleet_size=world.fleet.size,
         confirmed_ago_ms=confirmation.confirmed_ago_ms(world, now_ns),
+        shares=world.fleet.shares,
     )
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -14,6 +14,7 @@
 from snipesaddle._internal.systems.forwarding.fleet import FleetSystem
 from snipesaddle._internal.systems.forwarding.following import FollowingSystem
 from snipesaddle._internal.systems.forwarding.gathering import GatheringSystem
+from snipesaddle._internal.systems.forwarding.handover import HandoverSystem
 from snipesaddle._internal.systems.forwarding.hedging import HedgingSystem
 from snipesaddle._internal.systems.forwarding.lifecycle import LifecycleSystem
 from snipesaddle._internal.systems.forwarding.load_balancing import (
@@ -49,6 +50,7 @@
             ConfigActivationSystem(),
             EndpointsSystem(),
             FleetSystem(),
+            HandoverSystem(),
             AttemptsSystem(),
             OutcomesSystem(),
             ArrivalsSystem(chooser),
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -17,6 +17,20 @@
     LEAVING = "leaving"
 
 
+class ShareState(enum.Enum):
+    """How the connections of a node relate to its share of their limits.
+
+    Attributes:
+      NONE: it has started lately and may not open any yet.
+      KEPT: they are within its share.
+      EXCEEDED: its share has shrunk, and requests on those above it still run.
+    """
+
+    NONE = "none"
+    KEPT = "kept"
+    EXCEEDED = "exceeded"
+
+
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """The record that a node writes to the store and sends to its peers.
 
@@ -32,6 +46,7 @@
         read their records from the store.
       confirmed_ago_ms: how long ago the store last answered it for both the
         configuration and the endpoints; NEVER_CONFIRMED before that.
+      shares: whether its connections are within its share.
     """
 
     node_id: str
@@ -47,6 +62,7 @@
     attempts_per_s: int = 0
     fleet_size: int = 0
     confirmed_ago_ms: int = NEVER_CONFIRMED
+    shares: ShareState = ShareState.KEPT
 
 
 @dataclass(slots=True)
@@ -63,6 +79,8 @@
       lag_since_ns: since when it has lacked that revision.
       active_since_ns: since when it has been an active node, whose heartbeats
         reach all others; 0 while it is not active.
+      answered_incarnation: the run of it that has been told of this node's
+        shares, after it had started without any.
       no_relays_until_ns: until when nothing is relayed to it, because a relay
         to it failed.
     """
@@ -75,6 +93,7 @@
     lag_revision: int = 0
     lag_since_ns: int = 0
     active_since_ns: int = 0
+    answered_incarnation: str = ""
     no_relays_until_ns: int = 0
 
 
@@ -143,6 +162,12 @@
       active_since_ns: since when this node has been active; 0 if it is not.
       active_share: the part of a limit, less what is reserved for each node,
         that this node may use; 0 while it is not active.
+      shares: how this node's connections relate to its share.
+      announced_ns: when this run last told all nodes of itself before it had
+        a share; 0 for never.
+      unanswered_nodes: nodes without a share that have told of themselves.
+      excess_endpoint_ids: the endpoints to which it holds more connections
+        than its share, as requests still run on them.
       endpoints_revision: the highest revision of the endpoint list that a
         heartbeat of another node has reported.
       config_version: the highest configuration version reported likewise.
@@ -165,6 +190,10 @@
     last_active_ns: dict[str, int] = field(default_factory=dict)
     active_since_ns: int = 0
     active_share: float = 0.0
+    shares: ShareState = ShareState.NONE
+    announced_ns: int = 0
+    unanswered_nodes: list[PeerNode] = field(default_factory=list)
+    excess_endpoint_ids: dict[str, None] = field(default_factory=dict)
     endpoints_revision: int = 0
     config_version: int = 0
     behind_since_ns: int = 0
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -30,6 +30,7 @@
     STORE_CONFIRMATION = enum.auto()
     PRESENCE = enum.auto()
     FLEET_HEARTBEAT = enum.auto()
+    SHARE_HANDOVER = enum.auto()
     ENDPOINT = enum.auto()
     DEPARTURE = enum.auto()
     REQUEST = enum.auto()
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -91,6 +91,7 @@
     world: ForwardWorld
     schedule: ForwardSchedule = field(default_factory=ForwardSchedule)
     is_ready: bool = False
+    frozen_until_ns: int = 0
     open_connections: dict[int, str] = field(default_factory=dict)
 
 
@@ -148,7 +149,8 @@
             due = [
                 (due_ns, run.name)
                 for run in self.running.values()
-                if (due_ns := run.world.timers.next_due_ns()) is not None
+                if not self._is_frozen(run)
+                and (due_ns := run.world.timers.next_due_ns()) is not None
             ]
             timer_ns, name = min(due, default=(end_ns + 1, ""))
             queue_ns = self._queue[0][0] if self._queue else end_ns + 1
@@ -205,11 +207,35 @@
             self.connections[endpoint_id] -= 1
         run.open_connections.clear()
 
+    def _stop(self, run: Running) -> None:
+        if self.running.get(run.name) is run:
+            self.kill(run.name)
+
     def restart(self, name: str, down_ms: float) -> None:
         """Kills a node's process and starts it again."""
         self.kill(name)
         self.at(down_ms, lambda: self.start(name))
 
+    def leave(self, name: str) -> None:
+        """Asks a node's process to end, which it does in its own time."""
+        run = self.running.get(name)
+        if run is not None:
+            self._deliver(run, events.DrainRequested())
+
+    def freeze(self, name: str, ms: float) -> None:
+        """Stops a node's process for a time; its connections stay open."""
+        run = self.running.get(name)
+        if run is not None:
+            run.frozen_until_ns = self.now_ns + int(ms * NS_PER_MS)
+            self.at(ms, lambda: self._thaw(run))
+
+    def _thaw(self, run: Running) -> None:
+        if self.running.get(run.name) is run and not self._is_frozen(run):
+            self._tick(run)
+
+    def _is_frozen(self, run: Running) -> bool:
+        return self.now_ns < run.frozen_until_ns
+
     def ask(self, path: bytes, time_limit_ms: int = 600) -> None:
         """Sends a request to one of the nodes that are ready."""
         self.asked.append(self.now_ns)
@@ -234,7 +260,8 @@
     def _deliver(self, run: Running, event: object) -> None:
         if self.running.get(run.name) is run:
             run.world.inbox.put(event)
-            self._tick(run)
+            if not self._is_frozen(run):
+                self._tick(run)
 
     def _later(self, run: Running, delay_ms: float, event: object) -> None:
         self.at(delay_ms, lambda: self._deliver(run, event))
@@ -252,6 +279,10 @@
             case commands.RenewPresence(lease_id):
                 # Its lease does not lapse, so the renewal in an outage is moot.
                 self._later(run, _STORE_MS, events.PresenceWritten(lease_id))
+            case commands.RemovePresence():
+                self.store.put(Range.NODES, run.name, None)
+            case commands.StopProcess():
+                self.at(0.0, lambda: self._stop(run))
             case commands.SendToNode():
                 self._send_to_node(run, command)
             case commands.OpenConnection():
