Remember what endpoints have said while their registrations lapse

Cause: limit, pause, ejection and averages stood in the row, which was removed with the registration; a new row of the same run knew nothing, and answers to requests sent before the removal counted for nothing.

Change: a removed row is kept aside for ten minutes and taken over by the next row of the same run; results of attempts, and what relays tell, count there, too. The simulated store can keep its watches over a silence.

--- a/src/snipesaddle/_internal/systems/forwarding/attempts.py
+++ b/src/snipesaddle/_internal/systems/forwarding/attempts.py
@@ -9,6 +9,7 @@
     load_balancing,
     placement,
     rate_limits,
+    retention,
     retries,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -74,7 +75,7 @@
     Checks whether the endpoint is unresponsive, or was too slow to connect.
     """
     _remove_ended(world, attempt)
-    endpoint = world.endpoint_of(attempt)
+    endpoint = retention.endpoint_of(world, attempt)
     if endpoint is None:
         return
     if attempt.sent_ns:
@@ -175,7 +176,7 @@
         event: AttemptAnswered,
         now_ns: int,
     ) -> None:
-        endpoint = world.endpoint_of(attempt)
+        endpoint = retention.endpoint_of(world, attempt)
         if endpoint is None:
             return
         load_balancing.record_answer(endpoint, now_ns)
@@ -216,7 +217,7 @@
             return
         _remove_ended(world, attempt)
         world.counters.connections_lost += 1
-        endpoint = world.endpoint_of(attempt)
+        endpoint = retention.endpoint_of(world, attempt)
         if endpoint is not None:
             if event.opened:
                 load_balancing.record_result(endpoint, True, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/systems/forwarding/endpoints.py
@@ -6,7 +6,11 @@
 unable to renew it.
 """
 
-from snipesaddle._internal.systems.forwarding import connections, departures
+from snipesaddle._internal.systems.forwarding import (
+    connections,
+    departures,
+    retention,
+)
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.endpoints import (
     Endpoint,
@@ -47,6 +51,7 @@
         for key in world.timers.pop_due(TimerKind.ENDPOINT, now_ns):
             self._remove_after_grace(world, str(key), now_ns)
         departures.forget_due(world, now_ns)
+        retention.forget_due(world, now_ns)
 
     def _apply_list(
         self, world: ForwardWorld, items: dict[str, Item], now_ns: int
@@ -150,6 +155,7 @@
 
     def _add(self, world: ForwardWorld, entry: EndpointEntry) -> Endpoint:
         endpoint = Endpoint(entry, row_id=world.next_id())
+        retention.restore(world, endpoint)
         world.endpoints[entry.endpoint_id] = endpoint
         world.pool(entry.service).endpoints.append(endpoint)
         return endpoint
@@ -199,8 +205,8 @@
     ) -> None:
         connections.close_idle(world, endpoint)
         departures.forget_later(world, endpoint.endpoint_id, now_ns)
+        retention.retain(world, endpoint, now_ns)
         del world.endpoints[endpoint.endpoint_id]
-        world.limited_endpoint_ids.pop(endpoint.endpoint_id, None)
         pool = world.pool(endpoint.entry.service)
         pool.endpoints.remove(endpoint)
         world.freed_services[endpoint.entry.service] = None
--- a/src/snipesaddle/_internal/tables/forwarding/endpoints.py
+++ b/src/snipesaddle/_internal/tables/forwarding/endpoints.py
@@ -111,6 +111,21 @@
         """The id under which it is registered."""
         return self.entry.endpoint_id
 
+    def take_over(self, earlier: "Endpoint") -> None:
+        """Copies what an earlier row of the same run of it has recorded.
+
+        Connections and requests stay with the earlier row.
+        """
+        self.latency_ratio = earlier.latency_ratio
+        self.latency_ratio_updated_ns = earlier.latency_ratio_updated_ns
+        self.consecutive_failures = earlier.consecutive_failures
+        self.ejected_until_ns = earlier.ejected_until_ns
+        self.error_rate = earlier.error_rate
+        self.error_rate_updated_ns = earlier.error_rate_updated_ns
+        self.backoff_until_ns = earlier.backoff_until_ns
+        self.overloaded_until_ns = earlier.overloaded_until_ns
+        self.rate_limit = earlier.rate_limit
+
     def accepts_work(self) -> bool:
         """Returns whether it may be sent new work.
 
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -108,6 +108,8 @@
         it contains all older changes from the store.
       leaving_entries: the registrations of the endpoints that have said that
         they leave, by endpoint id; kept for some time after their removal.
+      removed_endpoints: the last rows of endpoints whose registrations have
+        ended, by endpoint id; kept for some time.
       limited_endpoint_ids: the endpoints that name a rate limit; a dictionary
         keeps their order.
       backoff_until_ns: until when some endpoint has asked for no requests.
@@ -150,6 +152,7 @@
     endpoints_revision: int = 0
     peer_list_revision: int = 0
     leaving_entries: dict[str, EndpointEntry] = field(default_factory=dict)
+    removed_endpoints: dict[str, Endpoint] = field(default_factory=dict)
     limited_endpoint_ids: dict[str, None] = field(default_factory=dict)
     backoff_until_ns: int = 0
     admitted_parts: dict[str, int] = field(default_factory=dict)
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -33,6 +33,7 @@
     SHARE_HANDOVER = enum.auto()
     ENDPOINT = enum.auto()
     DEPARTURE = enum.auto()
+    ENDPOINT_RETENTION = enum.auto()
     REQUEST = enum.auto()
     PART_RETRY = enum.auto()
     ATTEMPT = enum.auto()
--- a/tests/standins/simulated_store.py
+++ b/tests/standins/simulated_store.py
@@ -35,6 +35,8 @@
         self._items: dict[Range, dict[str, Item]] = {kind: {} for kind in Range}
         self._changes: list[tuple[Range, Change]] = []
         self._numbers = itertools.count(1)
+        self._keeps_watches = False
+        self._held_answers: list[Callable[[], None]] = []
         self._newest_call: dict[tuple[str, Range], int] = {}
         self._watches: dict[
             tuple[str, Range], tuple[commands.WatchRange, Deliver, int]
@@ -55,14 +57,25 @@
         for caller in list(self._watches):
             self._answer_watch(caller, only_changes=True)
 
-    def fall_silent(self, ms: float) -> None:
-        """Answers nothing for a time; the calls in flight are lost."""
+    def fall_silent(self, ms: float, *, keeps_watches: bool = False) -> None:
+        """Answers nothing for a time; calls that are sent in it are lost.
+
+        Args:
+          ms: the time.
+          keeps_watches: watches that wait are answered afterwards; otherwise
+            they are lost, too.
+        """
         self.is_silent = True
-        self._watches.clear()
+        self._keeps_watches = keeps_watches
+        if not keeps_watches:
+            self._watches.clear()
         self._at(ms, self._speak)
 
     def _speak(self) -> None:
         self.is_silent = False
+        held, self._held_answers = self._held_answers, []
+        for arrive in held:
+            arrive()
 
     def call(
         self,
@@ -108,7 +121,8 @@
         )
 
     def _end_wait(self, key: tuple[str, Range], number: int) -> None:
-        if self._newest_call[key] == number and not self.is_silent:
+        is_lost = self.is_silent and not self._keeps_watches
+        if self._newest_call[key] == number and not is_lost:
             self._answer_watch(key, only_changes=False)
 
     def _answer_watch(
@@ -129,7 +143,9 @@
         changed = events.RangeChanged(call.range, changes, self.revision)
 
         def arrive() -> None:
-            if self._newest_call[key] == number and not self.is_silent:
+            if self.is_silent and self._keeps_watches:
+                self._held_answers.append(arrive)
+            elif self._newest_call[key] == number and not self.is_silent:
                 self._newest_call[key] = 0
                 deliver(changed)
 
