Notice a silent store before the data are old

Cause: nodes whose watches had been waiting all the time had no failed call, and the age of the data shows a silence only after 2.25 s, so there was no grace period for the registrations that the store had removed.

Change: a watch whose wait has ended 0.4 s ago without an answer is overdue, if no peer had answers meanwhile. The node tells the others at once, and these take their next answer for the end of a silence.

--- a/src/snipesaddle/_internal/systems/forwarding/confirmation.py
+++ b/src/snipesaddle/_internal/systems/forwarding/confirmation.py
@@ -30,6 +30,8 @@
 _MARGIN_NS = 250 * NS_PER_MS
 _STAGGER_NS = 250 * NS_PER_MS
 _MAX_STAGGERS = 5
+# The store answers sooner, also when it is slow.
+_MAX_ANSWER_NS = 400 * NS_PER_MS
 _OVERDUE_CHECK_NS = 250 * NS_PER_MS
 # The same while no watch of these ranges waits, as on a node that follows.
 _IDLE_CHECK_NS = 500 * NS_PER_MS
@@ -57,25 +59,50 @@
 
 def record_peer(world: ForwardWorld, record: NodeRecord, now_ns: int) -> None:
     """Records that a peer's data were confirmed, if these are no older."""
+    if record.store_overdue:
+        world.store.peer_overdue_ns = now_ns
     if record.confirmed_ago_ms == NEVER_CONFIRMED:
         return
+    confirmed_ns = now_ns - record.confirmed_ago_ms * NS_PER_MS
+    store = world.store
+    store.peer_answered_ns = max(store.peer_answered_ns, confirmed_ns)
     if (
         record.config_version > world.active_config.version
         or record.endpoints_revision > world.endpoints_revision
     ):
         return
-    confirmed_ns = now_ns - record.confirmed_ago_ms * NS_PER_MS
-    store = world.store
     store.peer_confirmed_ns = max(store.peer_confirmed_ns, confirmed_ns)
 
 
+def answer_due_ns(wait_ms: int, now_ns: int) -> int:
+    """Returns when a watch that is sent now is answered at the latest."""
+    return now_ns + wait_ms * NS_PER_MS + _MAX_ANSWER_NS
+
+
+def takes_answer_for_recovery(world: ForwardWorld, now_ns: int) -> bool:
+    """Returns whether an answer ends a silence that a peer has noticed.
+
+    This node's own watches may have been waiting all the time; in a short
+    silence none of its calls is overdue.
+    """
+    store = world.store
+    age_ns = now_ns - store.peer_overdue_ns
+    noticed = store.peer_overdue_ns > 0 and age_ns <= _max_notice_ns(world)
+    store.peer_overdue_ns = 0
+    return noticed
+
+
+def _max_notice_ns(world: ForwardWorld) -> int:
+    return 2 * activity.heartbeat_interval_ns(world) + _MARGIN_NS
+
+
 def next_check_ns(world: ForwardWorld, now_ns: int) -> int:
     """Returns when a range may be overdue at the earliest."""
     waiting = _waiting_ranges(world)
     if not waiting:
         return now_ns + _IDLE_CHECK_NS
-    oldest_ns = min(_confirmed_ns(world, cache) for cache in waiting)
-    due_ns = oldest_ns + _max_age_ns(world, now_ns)
+    max_age_ns = _max_age_ns(world, now_ns)
+    due_ns = min(_overdue_ns(world, cache, max_age_ns) for cache in waiting)
     return max(due_ns, now_ns + _OVERDUE_CHECK_NS)
 
 
@@ -93,7 +120,7 @@
     overdue = [
         cache
         for cache in waiting
-        if now_ns >= _confirmed_ns(world, cache) + max_age_ns
+        if now_ns >= _overdue_ns(world, cache, max_age_ns)
     ]
     if not overdue:
         return []
@@ -114,6 +141,17 @@
     return [cache for cache in caches if cache.waits]
 
 
+def _overdue_ns(world: ForwardWorld, cache: RangeCache, max_age_ns: int) -> int:
+    """Returns from when on an answer for a range is overdue.
+
+    The end of a watch's wait without an answer shows a silence before the age
+    of the data does, unless a peer had answers meanwhile.
+    """
+    age_due_ns = _confirmed_ns(world, cache) + max_age_ns
+    peer_due_ns = world.store.peer_answered_ns + _MAX_ANSWER_NS
+    return min(age_due_ns, max(cache.answer_due_ns, peer_due_ns))
+
+
 def _confirmed_ns(world: ForwardWorld, cache: RangeCache) -> int:
     return max(cache.confirmed_ns, world.store.peer_confirmed_ns)
 
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -43,6 +43,9 @@
         fleet_size=world.fleet.size,
         confirmed_ago_ms=confirmation.confirmed_ago_ms(world, now_ns),
         shares=world.fleet.shares,
+        store_overdue=any(
+            cache.overdue for cache in world.range_caches.values()
+        ),
     )
 
 
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -9,6 +9,7 @@
     activity,
     confirmation,
     containment,
+    fleet,
     following,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
@@ -72,8 +73,11 @@
                 self._start_call(world, cache, now_ns)
         self._replace_stalled_watch(world, now_ns)
         for key in world.timers.pop_due(TimerKind.STORE_CONFIRMATION, now_ns):
-            for cache in confirmation.mark_overdue(world, now_ns):
+            overdue = confirmation.mark_overdue(world, now_ns)
+            for cache in overdue:
                 self._start_call(world, cache, now_ns)
+            if overdue:
+                fleet.heartbeat_now(world, now_ns)
             due_ns = confirmation.next_check_ns(world, now_ns)
             world.timers.set(TimerKind.STORE_CONFIRMATION, key, due_ns)
 
@@ -219,7 +223,11 @@
         cache.call_in_flight = False
         cache.waits = False
         cache.stalled_calls = 0
-        is_recovery = cache.consecutive_failures or cache.overdue
+        is_recovery = (
+            cache.consecutive_failures
+            or cache.overdue
+            or confirmation.takes_answer_for_recovery(world, now_ns)
+        )
         if is_recovery and world.store.is_ok:
             # One failed or lost watch may have been a short outage, so the
             # grace period for expired registrations starts here, too.
@@ -275,5 +283,6 @@
             return
         wait_ms = confirmation.watch_wait_ms(world, cache, now_ns)
         cache.waits = wait_ms > confirmation.NO_WAIT_MS
+        cache.answer_due_ns = confirmation.answer_due_ns(wait_ms, now_ns)
         timeout_ms = wait_ms + settings.call_timeout_ms
         world.emit(WatchRange(cache.range, cache.revision, wait_ms, timeout_ms))
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -47,6 +47,7 @@
       confirmed_ago_ms: how long ago the store last answered it for both the
         configuration and the endpoints; NEVER_CONFIRMED before that.
       shares: whether its connections are within its share.
+      store_overdue: answers of the store to it are overdue.
     """
 
     node_id: str
@@ -63,6 +64,7 @@
     fleet_size: int = 0
     confirmed_ago_ms: int = NEVER_CONFIRMED
     shares: ShareState = ShareState.KEPT
+    store_overdue: bool = False
 
 
 @dataclass(slots=True)
--- a/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
+++ b/src/snipesaddle/_internal/tables/forwarding/store_ranges.py
@@ -75,6 +75,8 @@
       confirmed_ns: when an answer last showed that all changes are known; 0
         for never.
       waits: the call in flight is a watch that waits for changes.
+      answer_due_ns: when that watch is answered at the latest, with or without
+        changes, if the store is not silent.
       overdue: nobody has confirmed the data for too long, so that a watch in
         flight may be lost; until the next answer.
     """
@@ -94,6 +96,7 @@
     last_reply_ns: int = 0
     confirmed_ns: int = 0
     waits: bool = False
+    answer_due_ns: int = 0
     overdue: bool = False
 
 
@@ -111,11 +114,17 @@
       recovered_ns: when it last became reachable again; 0 for never.
       peer_confirmed_ns: when a peer whose data are no newer than those held
         here last had answers; 0 for never.
+      peer_answered_ns: when a peer last had answers, whatever data it holds; 0
+        for never.
+      peer_overdue_ns: when a peer last told that answers of the store to it are
+        overdue; 0 if none has since the last answer.
     """
 
     lost_since_ns: int = 0
     recovered_ns: int = 0
     peer_confirmed_ns: int = 0
+    peer_answered_ns: int = 0
+    peer_overdue_ns: int = 0
 
     @property
     def is_ok(self) -> bool:
--- a/tests/unit/forwarding/test_retention.py
+++ b/tests/unit/forwarding/test_retention.py
@@ -34,6 +34,7 @@
 # How long before the end of an outage registrations lapse, and how long after
 # it they are back.
 LAPSE_MS = 900
+SHORT_MS = 1_000
 BACK_MS = 1_600
 
 
@@ -141,12 +142,15 @@
 
 
 def fleet_in_outage(
-    silent_ms: float, faults: Faults, keeps_watches: bool
+    silent_ms: float,
+    faults: Faults,
+    keeps_watches: bool,
+    phase_ms: float = 0.0,
 ) -> SimulatedFleet:
     """Returns a fleet before an outage in which all registrations lapse."""
     fleet = started_fleet(merge_route(2), NODES, NODES, 40, 1)
     fleet.faults = faults
-    ask_for(fleet, 5_000)
+    ask_for(fleet, 5_000 + phase_ms)
     fleet.store.fall_silent(silent_ms, keeps_watches=keeps_watches)
     fleet.at(silent_ms - LAPSE_MS, lambda: put_all(fleet, present=False))
     fleet.at(silent_ms + BACK_MS, lambda: put_all(fleet, present=True))
@@ -180,12 +184,26 @@
         assert limit_overrun(arrivals, arrivals[0], LIMIT) <= 0
 
 
+# The phase is that of the watches by which one node confirms for the fleet.
+@pytest.mark.parametrize("phase_ms", [0, 100, 700, 1_700])
 @pytest.mark.parametrize("keeps_watches", [False, True])
-@pytest.mark.parametrize("silent_ms", [3_300, 4_500])
+@pytest.mark.parametrize("silent_ms", [2_000, 2_200, 3_300, 4_500])
 def test_requests_are_served_while_registrations_lapse_in_a_silent_outage(
-    silent_ms: int, keeps_watches: bool
+    silent_ms: int, keeps_watches: bool, phase_ms: int
 ) -> None:
-    fleet = fleet_in_outage(silent_ms, Faults(), keeps_watches)
+    fleet = fleet_in_outage(silent_ms, Faults(), keeps_watches, phase_ms)
+    assert_all_are_served(fleet, silent_ms)
+
+
+# No call is overdue in so short a silence.
+def test_requests_are_served_while_registrations_lapse_in_a_short_silence() -> (
+    None
+):
+    fleet = fleet_in_outage(SHORT_MS, Faults(), keeps_watches=True)
+    assert_all_are_served(fleet, SHORT_MS)
+
+
+def assert_all_are_served(fleet: SimulatedFleet, silent_ms: int) -> None:
     ask_for(fleet, silent_ms + BACK_MS + 1_000)
     fleet.advance(600)
     assert fleet.answers["whole"] == len(fleet.asked), fleet.answers
