Leave out bodies that responses must not have

Cause: each function that answers wrote a body whatever the method was. 304 and 204 had untrue lengths, and HEAD a length of 0 where the endpoint gave none.

Change: the HTTP server leaves the body out by method and status; frontends no longer track HEAD requests. Also a 400 for directory names beyond Latin-1, which closed the connection.

--- a/src/snipesaddle/_internal/adapters/http1/response_reader.py
+++ b/src/snipesaddle/_internal/adapters/http1/response_reader.py
@@ -4,10 +4,13 @@
 
 import httptools
 
-from snipesaddle._internal.adapters.http1.headers import Headers, find_header
+from snipesaddle._internal.adapters.http1.headers import (
+    NO_BODY_STATUSES,
+    Headers,
+    find_header,
+)
 from snipesaddle._internal.models.forwarding import ResponseSettings
 
-_NO_BODY_STATUSES = frozenset({204, 304})
 # A chunk of one byte takes five more bytes on the wire.
 _MAX_FRAMING_BYTES_PER_BODY_BYTE = 5
 # What a header takes in memory beyond its bytes.
@@ -155,7 +158,7 @@
 
     def on_headers_complete(self) -> None:
         self._headers_done = True
-        if self._parser.get_status_code() in _NO_BODY_STATUSES:
+        if self._parser.get_status_code() in NO_BODY_STATUSES:
             self._has_known_length = True
         if self._is_head_request:
             self._finish_message(keep_alive=False)
--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -8,13 +8,18 @@
 import itertools
 from collections import deque
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import cast
 
 import anyio
 import httptools
 from absl import logging
 
-from snipesaddle._internal.adapters.http1.headers import Headers, find_header
+from snipesaddle._internal.adapters.http1.headers import (
+    NO_BODY_STATUSES,
+    Headers,
+    find_header,
+)
 
 _SWEEP_INTERVAL_S = 0.5
 _MAX_PIPELINED_REQUESTS = 16
@@ -107,12 +112,26 @@
         body: bytes,
         close_connection: bool = False,
     ) -> None:
-        """Answers a pending request; ignored if the client disconnected."""
+        """Answers a pending request; ignored if the client disconnected.
+
+        Args:
+          client_id: the pending request.
+          status: the status code.
+          reason: the reason phrase.
+          headers: the headers, with the Content-Length.
+          body: left out if the method or the status allows none.
+          close_connection: close the connection after the response.
+        """
         connection = self._pending.pop(client_id, None)
         if connection is not None:
             close_connection = close_connection or self._closing_idle
             connection.respond(status, reason, headers, body, close_connection)
 
+    def is_head(self, client_id: int) -> bool:
+        """Returns whether a pending request has the method HEAD."""
+        connection = self._pending.get(client_id)
+        return connection is not None and connection.method == b"HEAD"
+
     def close_idle(self) -> None:
         """Closes idle connections, and later each one after its response."""
         self._closing_idle = True
@@ -176,6 +195,7 @@
 
     Attributes:
       client_id: the id of the request being handled; 0 for none.
+      method: its method; after it, that of the request being received.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -194,9 +214,11 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._target = b""
+        self._received_method = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self.client_id = 0
+        self.method = b""
 
     # Callbacks of asyncio.Protocol.
 
@@ -248,11 +270,13 @@
         self._waiting_since_s = self._loop.time()
         self._body_bytes = 0
         self._target = b""
+        self._received_method = b""
         self._headers = []
         self._body = []
 
     def on_url(self, url: bytes) -> None:
         self._target += url
+        self._received_method = self._parser.get_method()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Drops the trailer fields of a chunked body.
@@ -319,12 +343,16 @@
         if transport is None or transport.is_closing():
             return
         close_connection = close_connection or not self._keep_alive
+        if status == HTTPStatus.NO_CONTENT:
+            headers = _without_length(headers)
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
         lines.extend(b"%b: %b\r\n" % header for header in headers)
         if close_connection:
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
-        lines.append(body)
+        # The client would read it as the beginning of its next response.
+        if self.method != b"HEAD" and status not in NO_BODY_STATUSES:
+            lines.append(body)
         transport.write(b"".join(lines))
         if close_connection:
             self._close_gracefully()
@@ -363,6 +391,7 @@
         if self._queued:
             request, self._keep_alive = self._queued.popleft()
             self.client_id = next(_client_ids)
+            self.method = request.method
             self._server.add_pending(self.client_id, self)
             self._server.handler.on_request(self.client_id, request)
         elif self._error is not None:
@@ -370,6 +399,7 @@
 
     def _reject(self, status: int, detail: bytes) -> None:
         self._keep_alive = False
+        self.method = self._received_method
         headers = (
             (b"Content-Type", b"text/plain"),
             (b"Content-Length", b"%d" % len(detail)),
@@ -382,3 +412,11 @@
         self._discarding_until_s = self._loop.time() + _LINGER_S
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
+
+
+def _without_length(headers: Headers) -> Headers:
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() != b"content-length"
+    )
--- a/src/snipesaddle/platform/frontend.py
+++ b/src/snipesaddle/platform/frontend.py
@@ -5,7 +5,10 @@
 
 import msgspec
 
-from snipesaddle._internal.adapters.http1.headers import find_header
+from snipesaddle._internal.adapters.http1.headers import (
+    NO_BODY_STATUSES,
+    find_header,
+)
 from snipesaddle._internal.adapters.http1.server import (
     HttpRequest,
     HttpServer,
@@ -17,6 +20,7 @@
 from snipesaddle._internal.tables.forwarding.commands import ErrorKind
 from snipesaddle._internal.tables.forwarding.requests import (
     ArrivedRequest,
+    EndpointAnswer,
     Headers,
 )
 from snipesaddle._internal.tables.forwarding.routes import ClientLimits
@@ -36,20 +40,13 @@
 
 
 class _ClientHandler(RequestHandler):
-    """Turns client requests into events.
-
-    Attributes:
-      head_requests: the clients that wait for the response to a HEAD request.
-    """
+    """Turns client requests into events."""
 
     def __init__(self, inbox: Inbox, now_ns: Callable[[], int]) -> None:
         self._inbox = inbox
         self._now_ns = now_ns
-        self.head_requests: set[int] = set()
 
     def on_request(self, client_id: int, request: HttpRequest) -> None:
-        if request.method == b"HEAD":
-            self.head_requests.add(client_id)
         arrived = ArrivedRequest(
             client_id=client_id,
             client_request_id=request.header(names.REQUEST_ID) or b"",
@@ -63,7 +60,6 @@
         self._inbox.put(events.RequestArrived(arrived, self._now_ns()))
 
     def on_disconnect(self, client_id: int) -> None:
-        self.head_requests.discard(client_id)
         self._inbox.put(events.ClientDisconnected(client_id))
 
 
@@ -82,8 +78,14 @@
             )
             return
         fields = parse_qs(query.decode("latin-1"))
-        host = fields.get("name", [""])[0].encode("latin-1")
+        name = fields.get("name", [""])[0]
         zone = fields.get("zone", [""])[0]
+        try:
+            host = name.encode("latin-1")
+        except UnicodeEncodeError:
+            detail = _text_response(b"name is not a host name")
+            self.server.respond(client_id, 400, b"Bad Request", *detail)
+            return
         self._inbox.put(events.DirectoryRequested(client_id, host, zone))
 
     def on_disconnect(self, client_id: int) -> None:
@@ -149,23 +151,22 @@
     ) -> None:
         """Writes an endpoint's response, without its hop-by-hop headers."""
         answer = command.answer
-        kept = headers.end_to_end(answer.headers, _NOTHING_EXCLUDED)
-        length = b"%d" % len(answer.body)
-        if command.client_id in self._clients.head_requests:
-            self._clients.head_requests.discard(command.client_id)
-            length = find_header(answer.headers, b"content-length") or length
+        fields = headers.end_to_end(answer.headers, _NOTHING_EXCLUDED)
+        is_head = self._server.is_head(command.client_id)
+        length = _content_length(answer, is_head)
+        if length is not None:
+            fields = (*fields, (b"Content-Length", length))
         self._server.respond(
             command.client_id,
             answer.status,
             answer.reason,
-            (*kept, (b"Content-Length", length)),
+            fields,
             answer.body,
             command.close_connection,
         )
 
     def send_merged_answer(self, command: commands.SendMergedAnswer) -> None:
         """Writes a merged answer with the signatures of its parts."""
-        self._clients.head_requests.discard(command.client_id)
         self._server.respond(
             command.client_id,
             200,
@@ -182,7 +183,6 @@
 
     def send_error(self, command: commands.SendError) -> None:
         """Writes an error response of this node."""
-        self._clients.head_requests.discard(command.client_id)
         status, reason = _STATUS_BY_ERROR_KIND[command.error_kind]
         fields, body = _text_response(command.detail.encode())
         if command.retry_after_ms:
@@ -246,6 +246,17 @@
     return fields, body
 
 
+def _content_length(answer: EndpointAnswer, is_head: bool) -> bytes | None:
+    """Returns the Content-Length of a response; None for none.
+
+    Where a response has no body, it is the length that the endpoint gives for
+    the body that it left out.
+    """
+    if is_head or answer.status in NO_BODY_STATUSES:
+        return find_header(answer.headers, b"content-length")
+    return b"%d" % len(answer.body)
+
+
 def _host(request: HttpRequest) -> bytes:
     host = request.header(b"host") or b""
     return host.partition(b":")[0]
