Let a node whose clock was set back be used again

Cause: ids of runs sort by the time of day at the start, and the others passed over all that a run with a lower id sent, for good.

Change: who hears such a run tells it of the record that sorts higher; within 30 s of its start it takes a higher id and tells all. Ids are made in a module of their own, for both daemons.

--- a/src/snipesaddle/_internal/daemon/forward_node.py
+++ b/src/snipesaddle/_internal/daemon/forward_node.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import signal
-import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
@@ -13,6 +12,7 @@
 
 from absl import logging
 
+from snipesaddle._internal import incarnations
 from snipesaddle._internal.adapters.http1.server import (
     HttpRequest,
     HttpServer,
@@ -68,15 +68,6 @@
     )
 
 
-def new_incarnation() -> str:
-    """Returns an id for this run of the process.
-
-    It starts with the start time, so that ids of later runs sort higher.
-    """
-    started_unix_ms = time.time_ns() // 1_000_000
-    return f"{started_unix_ms:012x}-{secrets.token_hex(4)}"
-
-
 class ForwardNode:
     """Runs the tables and systems of one node with the given adapters.
 
@@ -91,7 +82,7 @@
         self._stack = stack
         self._log = DecisionLog(settings.node.name)
         decision_log.set_up_absl(self._log)
-        self._world = build_world(settings, new_incarnation())
+        self._world = build_world(settings, incarnations.new())
         self._histograms = OutcomeHistograms()
 
     @property
--- a/src/snipesaddle/_internal/daemon/node.py
+++ b/src/snipesaddle/_internal/daemon/node.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import time
 from contextlib import AsyncExitStack
 from typing import get_args
 
@@ -10,6 +9,7 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
+from snipesaddle._internal import incarnations
 from snipesaddle._internal.adapters.claim_store import ClaimStore
 from snipesaddle._internal.adapters.config_store import ConfigStore
 from snipesaddle._internal.adapters.http_frontend import HttpFrontend
@@ -49,15 +49,6 @@
     return world
 
 
-def new_incarnation(node_name: str) -> str:
-    """Returns an id for this run of the process.
-
-    It holds the start time, so that ids of later runs of a node sort higher.
-    """
-    started_unix_ms = time.time_ns() // 1_000_000
-    return f"{node_name}~{started_unix_ms:012x}-{secrets.token_hex(4)}"
-
-
 class Node:
     """Runs the tables and systems of one node with the given ports."""
 
@@ -102,7 +93,7 @@
 async def run_node(settings: Settings) -> None:
     """Runs an entry node until it has drained."""
     async with AsyncExitStack() as stack:
-        incarnation = new_incarnation(settings.node.name)
+        incarnation = f"{settings.node.name}~{incarnations.new()}"
         ports = await open_adapters(settings, incarnation, stack)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         world = build_world(settings, clock.now_ns(), incarnation)
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping
 
+from snipesaddle._internal import incarnations
 from snipesaddle._internal.systems.forwarding import (
     activity,
     confirmation,
@@ -14,6 +15,7 @@
     containment,
     fleet_shares,
     peer_sync,
+    presence,
     retries,
 )
 from snipesaddle._internal.systems.forwarding.presence import this_node_record
@@ -36,6 +38,8 @@
 
 _HEARTBEAT = "beat"
 _REMOVE_AFTER_NS = 30_000 * NS_PER_MS
+# A run that is older is the one that was replaced.
+_MAX_RENEWAL_AGE_NS = 30_000 * NS_PER_MS
 
 
 def heartbeat_targets(world: ForwardWorld) -> list[PeerNode]:
@@ -179,14 +183,17 @@
             if item.node_id != world.this_node.node_id:
                 self._upsert(world, item, now_ns).registered = True
             else:
-                self._on_own_record(world, item)
+                self._on_own_record(world, item, now_ns)
             return
         node = world.fleet.nodes.get(key)
         if node is not None:
             node.registered = False
 
-    def _on_own_record(self, world: ForwardWorld, record: NodeRecord) -> None:
+    def _on_own_record(
+        self, world: ForwardWorld, record: NodeRecord, now_ns: int
+    ) -> None:
         fleet = world.fleet
+        _renew_incarnation(world, record, now_ns)
         if record.incarnation != world.this_node.incarnation:
             world.presence.stale = True
         elif not fleet.own_record_seen:
@@ -226,6 +233,7 @@
         fleet.reported_size = max(fleet.reported_size, beat.node.fleet_size)
         for record in beat.others:
             if record.node_id == world.this_node.node_id:
+                _renew_incarnation(world, record, now_ns)
                 continue
             known = fleet.nodes.get(record.node_id)
             # Several nodes pass on the same record; only a newer one shows that
@@ -234,6 +242,8 @@
                 self._on_record(world, record, now_ns)
         confirmation.record_peer(world, beat.node, now_ns)
         node = fleet.nodes[beat.node.node_id]
+        if beat.node.incarnation < node.record.incarnation:
+            _tell_later_run(world, beat.node.peer_address, node, now_ns)
         if beat.node.shares is ShareState.NONE:
             fleet.unanswered_nodes.append(node)
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
@@ -266,3 +276,46 @@
         known.incarnation,
         known.sequence,
     )
+
+
+def _tell_later_run(
+    world: ForwardWorld, peer_address: str, node: PeerNode, now_ns: int
+) -> None:
+    """Tells a run of a node of a record that sorts higher than its own.
+
+    Its clock has been set back since that record was written, or it has been
+    replaced.
+    """
+    beat = NodeBeat(this_node_record(world, now_ns), (node.record,))
+    world.emit(SendToNode(peer_address, beat))
+
+
+def _renew_incarnation(
+    world: ForwardWorld, record: NodeRecord, now_ns: int
+) -> None:
+    """Makes this run sort higher than an earlier run of this node.
+
+    The clock has been set back since the earlier run started; the others would
+    pass over all that this one sends.
+    """
+    this_node = world.this_node
+    age_ns = now_ns - this_node.started_ns
+    if (
+        record.incarnation <= this_node.incarnation
+        or age_ns > _MAX_RENEWAL_AGE_NS
+    ):
+        return
+    earlier = this_node.incarnation
+    this_node.incarnation = incarnations.later(
+        record.incarnation, this_node.incarnation
+    )
+    world.fleet.own_record_seen = False
+    world.presence.stale = True
+    presence.update_now(world, now_ns)
+    announce(world, now_ns)
+    world.log(
+        "incarnation_renewed",
+        earlier=earlier,
+        later=this_node.incarnation,
+        found=record.incarnation,
+    )
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -49,6 +49,9 @@
 _STARTED_NS = NS_PER_S
 # All nodes serve then, and use their shares of the fleet's limits.
 _START_MS = 12_000
+# The time of day at the beginning, and how far clocks are set back.
+_CLOCK_MS = 1_000_000
+_CLOCK_STEP_MS = 10_000
 
 
 @dataclass
@@ -129,6 +132,7 @@
         self._rng = random.Random(seed)
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
+        self._clock_ms = _CLOCK_MS
         self._incarnations = itertools.count(1)
         self._entry_by_address = {item.address: item for item in entries}
         self.store = SimulatedStore(self.at)
@@ -181,12 +185,17 @@
             retries=self._retries,
             seed=self._rng.randrange(1 << 30),
         )
-        incarnation = f"{next(self._incarnations):06d}"
+        started_ms = self._clock_ms + next(self._incarnations)
+        incarnation = f"{started_ms:012x}-{name}"
         run = Running(name, build_world(settings, incarnation))
         self.running[name] = run
         run.schedule.start(run.world, self.now_ns)
         self._tick(run)
 
+    def set_clocks_back(self) -> None:
+        """Sets the time of day back; it counts when a process starts."""
+        self._clock_ms -= _CLOCK_STEP_MS
+
     def publish(self, version: int) -> None:
         """Writes a newer version of the configuration."""
         source = b"config %d" % version
