Step clocks, kill all nodes and rebirth leafs in the soak

Restarted nodes may have clocks up to 12 s ahead or behind; all nodes are killed at once; leafs end and start again under their id. At the end each node's directory must name all nodes.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,8 +2,9 @@
 
 Nodes run as processes; leafs, the store and the proxies before them are
 stand-ins here. Faults come in lanes that overlap: nodes are killed, paused,
-stopped and started; connections are cut, silenced, delayed, or lose what comes
-back; the store goes away, or is silent beside changes; leafs say in their
+stopped and started, all of them too, some with their clocks set forward or
+back; leafs are born again under their ids; connections are cut, silenced,
+delayed, or lose what comes back; the store goes away, or is silent beside changes; leafs say in their
 answers that they leave. Promises are checked from what clients and leafs see.
 Exit status 1 if one was broken.
 """
@@ -44,6 +45,7 @@
 _NODES = ("e1", "e2", "e3")
 _TOP_K = 3
 _IN_FORCE_S = 6.0
+_MAX_CLOCK_STEP_S = 12.0
 _CLIENTS = 6
 _LANES = 3
 _RETRIES = RetrySettings(ratio=0.1, slack=6.0, window_s=2)
@@ -269,6 +271,8 @@
     async def _lane(self, rng: random.Random) -> None:
         faults: tuple[Callable[[random.Random], Awaitable[None]], ...] = (
             self._kill,
+            self._kill_all,
+            self._rebirth,
             self._restart,
             self._pause,
             self._harm_store,
@@ -315,9 +319,34 @@
             ended = (0, -signal.SIGTERM)
             if number is signal.SIGTERM and node.returncode not in ended:
                 self._broken(name, f"ended with {node.returncode}")
-            self.site.start_node(name)
+            self.site.start_node(name, _clock_offset_s(rng))
         self.busy.discard(name)
 
+    async def _kill_all(self, rng: random.Random) -> None:
+        if self.busy:
+            return
+        self.busy.update(_NODES)
+        self.faults.append("kill all")
+        for name in _NODES:
+            self.site.nodes[name].kill()
+            self.site.nodes[name].wait()
+        for name in rng.sample(_NODES, len(_NODES)):
+            await anyio.sleep(rng.uniform(0, 0.5))
+            self.site.start_node(name, _clock_offset_s(rng))
+            self.busy.discard(name)
+
+    async def _rebirth(self, rng: random.Random) -> None:
+        """Has a leaf end and start again under its id, at its address."""
+        leaf = rng.choice(self._soak_leafs())
+        self.faults.append(f"{leaf.leaf_id} is born again")
+        key = f"servers/{leaf.leaf_id}"
+        for scope in list(self.routes[leaf.leaf_id].scopes):
+            scope.cancel()
+        self.site.store.delete(key)
+        await anyio.sleep(rng.uniform(0, 1.5))
+        leaf.born += 1
+        self.site.store.put(key, leaf.entry())
+
     async def _kill(self, rng: random.Random) -> None:
         await self._hurt(rng, "kill", signal.SIGKILL)
 
@@ -450,6 +479,8 @@
         replies = (own, sweep)
         if any(r is None or r.status_code != 200 for r in replies):
             return False
+        if len(await self.site.named(name)) < len(_NODES):
+            return False
         return bool(sweep.headers["missing-parts"] == "0")
 
     def _check(self) -> None:
@@ -496,6 +527,13 @@
                     self._broken(f"v{older}", f"served again after v{newer}")
 
 
+def _clock_offset_s(rng: random.Random) -> float:
+    """Returns by how much the clock of a started node is wrong."""
+    if rng.random() < 0.5:
+        return 0.0
+    return rng.uniform(-_MAX_CLOCK_STEP_S, _MAX_CLOCK_STEP_S)
+
+
 async def run(
     seed: int, seconds: float, folder: Path
 ) -> tuple[dict[str, Any], list[str]]:
--- a/tests/standins/forward_site.py
+++ b/tests/standins/forward_site.py
@@ -111,7 +111,7 @@
         self.store.put("servers/i-bad", {"service": 7})
         self.store.put("servers/i-raw", b"\xff\x00")
 
-    def start_node(self, name: str) -> None:
+    def start_node(self, name: str, clock_offset_s: float = 0.0) -> None:
         if name not in self.ports:
             self.ports[name] = self.take_port(_PORTS_PER_NODE)
         first = self.ports[name]
@@ -130,9 +130,12 @@
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         self.started_s[name] = time.monotonic()
+        program = ["snipesaddle.platform"]
+        if clock_offset_s:
+            program = ["tests.standins.stepped_node", str(clock_offset_s)]
         with (self.folder / f"{name}.log").open("ab") as log:
             self.nodes[name] = subprocess.Popen(
-                [sys.executable, "-m", "snipesaddle.platform"],
+                [sys.executable, "-m", *program],
                 env=os.environ | {"SNIPESADDLE_BOOT": str(path)},
                 stdout=log,
             )
