--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,9 +4,9 @@
 stand-ins here. Faults come in lanes that overlap: nodes are killed, paused,
 stopped and started, all of them too, some with their clocks set forward or
 back; leafs are born again under their ids; connections are cut, silenced,
-delayed, or lose what comes back; the store goes away, or is silent beside changes; leafs say in their
-answers that they leave. Promises are checked from what clients and leafs see.
-Exit status 1 if one was broken.
+delayed, or lose what comes back; the store goes away, or is silent beside
+changes; leafs say in their answers that they leave. Promises are checked from
+what clients and leafs see. Exit status 1 if one was broken.
 """
 
 import argparse
