--- a/src/snipesaddle/_internal/adapters/http1/read_pacer.py
+++ b/src/snipesaddle/_internal/adapters/http1/read_pacer.py
@@ -4,11 +4,9 @@
 import asyncio
 import heapq
 import itertools
-import time
 
-# For each unit of time that reading a long response takes, the loop is left to
-# everything else for so many.
-_OTHERS_TIME_RATIO = 4
+from snipesaddle._internal.adapters.time_share import TimeShare
+
 # When the connection that was resumed has nothing to read, the next one
 # follows after this time.
 _TURN_S = 0.001
@@ -35,7 +33,7 @@
     def __init__(self) -> None:
         self._waiting: list[tuple[int, int, PacedConnection]] = []
         self._order = itertools.count()
-        self._free_at_ns = 0
+        self._share = TimeShare()
         self._timer: asyncio.TimerHandle | None = None
 
     def wait_for_turn(
@@ -48,13 +46,9 @@
           spent_ns: how long its last piece took.
           total_spent_ns: the same for its whole response so far.
         """
-        now_ns = time.perf_counter_ns()
-        self._free_at_ns = (
-            max(now_ns, self._free_at_ns) + spent_ns * _OTHERS_TIME_RATIO
-        )
         entry = (total_spent_ns, next(self._order), connection)
         heapq.heappush(self._waiting, entry)
-        self._set_timer((self._free_at_ns - now_ns) / _NS_PER_S)
+        self._set_timer(self._share.delay_s(spent_ns / _NS_PER_S))
 
     def _set_timer(self, delay_s: float) -> None:
         if self._timer is not None:
--- a/src/snipesaddle/_internal/adapters/tcp_stream.py
+++ b/src/snipesaddle/_internal/adapters/tcp_stream.py
@@ -9,32 +9,14 @@
 import httpcore
 from anyio.abc import SocketAttribute, SocketStream
 
+from snipesaddle._internal.adapters.time_share import TimeShare
+
 # A response is read in pieces that grow while they are cheap to parse.
 _MIN_PIECE_BYTES = 2_048
 _MAX_PIECE_BYTES = 65_536
 _CHEAP_PIECE_S = 0.001
-# For each unit of time that expensive pieces take, the event loop is left to
-# everything else for so many.
-_OTHERS_TIME_RATIO = 4
-
-
-class ReadTurns:
-    """Bounds the time that expensive responses on all streams take."""
-
-    def __init__(self) -> None:
-        self._free_at_s = 0.0
-
-    async def wait(self, spent_s: float) -> None:
-        """Waits for the turn of a stream, given what its last piece took."""
-        now_s = time.perf_counter()
-        self._free_at_s = (
-            max(now_s, self._free_at_s) + spent_s * _OTHERS_TIME_RATIO
-        )
-        await anyio.sleep(self._free_at_s - now_s)
-
-
-# Of all streams of the process.
-_turns = ReadTurns()
+# What expensive responses take on all streams of the process.
+_expensive_reads = TimeShare()
 
 
 class TcpStream(httpcore.AsyncNetworkStream):
@@ -87,7 +69,7 @@
             self._piece_bytes = min(2 * self._piece_bytes, _MAX_PIECE_BYTES)
             return
         self._piece_bytes = _MIN_PIECE_BYTES
-        await _turns.wait(spent_s)
+        await anyio.sleep(_expensive_reads.delay_s(spent_s))
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends all bytes."""
