Tell of exceeded shares in the heartbeat of the same tick

Cause: the state was set after the heartbeats of the tick in which the share shrank, so a starting node could be told that nothing was above it (found by reading). Change: the state is worked out from the connections that are above the share. The beats that tell of a silent store are sent at once and leave the timer alone. Test: test_each_heartbeat_tells_of_requests_above_the_share, failed before.

--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -195,7 +195,8 @@
 
     Attributes:
       client_id: the id of the request being handled; 0 for none.
-      method: its method; after it, that of the request being received.
+      method: the method of that request, or of one that is rejected while it
+        is being received.
     """
 
     def __init__(self, server: HttpServer) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/connections.py
+++ b/src/snipesaddle/_internal/systems/forwarding/connections.py
@@ -15,7 +15,6 @@
     Endpoint,
     EndpointConnection,
 )
-from snipesaddle._internal.tables.forwarding.fleet import ShareState
 from snipesaddle._internal.tables.forwarding.requests import Request
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 
@@ -36,7 +35,7 @@
 
     None until the other nodes have handed over its share.
     """
-    if world.fleet.shares is ShareState.NONE:
+    if not world.fleet.has_shares:
         return 0
     service = world.active_config.config.services.get(endpoint.entry.service)
     limit = service.max_connections if service else _DEFAULT_MAX_CONNECTIONS
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -87,11 +87,6 @@
         world.emit(SendToNode(node.record.peer_address, heartbeat))
 
 
-def heartbeat_now(world: ForwardWorld, now_ns: int) -> None:
-    """Makes the next heartbeats due now."""
-    world.timers.set(TimerKind.FLEET_HEARTBEAT, _HEARTBEAT, now_ns)
-
-
 def announce(world: ForwardWorld, now_ns: int) -> None:
     """Tells all nodes at once of this node and its phase."""
     heartbeat = NodeBeat(this_node_record(world, now_ns))
--- a/src/snipesaddle/_internal/systems/forwarding/handover.py
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -44,10 +44,10 @@
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         world.timers.pop_due(TimerKind.SHARE_HANDOVER, now_ns)
-        if world.fleet.shares is ShareState.NONE:
+        if not world.fleet.has_shares:
             _take_when_free(world, now_ns)
         elif world.fleet.excess_endpoint_ids:
-            _update_excess(world, now_ns)
+            _free_excess(world, now_ns)
         _answer_started_nodes(world, now_ns)
 
 
@@ -66,7 +66,7 @@
             return
     elif waited_ns < _MAX_UNKNOWN_SIZE_NS:
         return
-    this_fleet.shares = ShareState.KEPT
+    this_fleet.has_shares = True
     connections.wake_waiting(world)
     world.log(
         "shares_taken",
@@ -85,21 +85,17 @@
     )
 
 
-def _update_excess(world: ForwardWorld, now_ns: int) -> None:
+def _free_excess(world: ForwardWorld, now_ns: int) -> None:
     """Tells the nodes that wait once no connection is above the share."""
     this_fleet = world.fleet
     for endpoint_id in list(this_fleet.excess_endpoint_ids):
         if not connections.exceeds_quota(world, endpoint_id):
             del this_fleet.excess_endpoint_ids[endpoint_id]
     if this_fleet.excess_endpoint_ids:
-        this_fleet.shares = ShareState.EXCEEDED
         return
-    was_exceeded = this_fleet.shares is ShareState.EXCEEDED
-    this_fleet.shares = ShareState.KEPT
-    if was_exceeded:
-        for node in this_fleet.nodes.values():
-            if node.record.shares is ShareState.NONE:
-                _tell(world, node, now_ns)
+    for node in this_fleet.nodes.values():
+        if node.record.shares is ShareState.NONE:
+            _tell(world, node, now_ns)
 
 
 def _answer_started_nodes(world: ForwardWorld, now_ns: int) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -18,10 +18,7 @@
     StopProcess,
 )
 from snipesaddle._internal.tables.forwarding.events import DrainRequested
-from snipesaddle._internal.tables.forwarding.fleet import (
-    NodePhase,
-    ShareState,
-)
+from snipesaddle._internal.tables.forwarding.fleet import NodePhase
 from snipesaddle._internal.tables.forwarding.store_ranges import (
     Range,
     SyncStage,
@@ -56,7 +53,7 @@
         has_endpoints = cache.stage is SyncStage.WATCH or world.endpoints
         if world.active_config.version == 0 or not has_endpoints:
             return
-        if world.fleet.shares is ShareState.NONE:
+        if not world.fleet.has_shares:
             return
         world.this_node.phase = NodePhase.SERVING
         world.presence.stale = True
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -77,7 +77,8 @@
             for cache in overdue:
                 self._start_call(world, cache, now_ns)
             if overdue:
-                fleet.heartbeat_now(world, now_ns)
+                # The others' watches may have been waiting all the time.
+                fleet.send_heartbeats(world, now_ns)
             due_ns = confirmation.next_check_ns(world, now_ns)
             world.timers.set(TimerKind.STORE_CONFIRMATION, key, due_ns)
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -164,7 +164,8 @@
       active_since_ns: since when this node has been active; 0 if it is not.
       active_share: the part of a limit, less what is reserved for each node,
         that this node may use; 0 while it is not active.
-      shares: how this node's connections relate to its share.
+      has_shares: this node may use its shares of what all nodes together may;
+        the others have handed them over.
       announced_ns: when this run last told all nodes of itself before it had
         a share; 0 for never.
       unanswered_nodes: nodes without a share that have told of themselves.
@@ -192,10 +193,19 @@
     last_active_ns: dict[str, int] = field(default_factory=dict)
     active_since_ns: int = 0
     active_share: float = 0.0
-    shares: ShareState = ShareState.NONE
+    has_shares: bool = False
     announced_ns: int = 0
     unanswered_nodes: list[PeerNode] = field(default_factory=list)
     excess_endpoint_ids: dict[str, None] = field(default_factory=dict)
     endpoints_revision: int = 0
     config_version: int = 0
     behind_since_ns: int = 0
+
+    @property
+    def shares(self) -> ShareState:
+        """How this node's connections relate to its share."""
+        if not self.has_shares:
+            return ShareState.NONE
+        if self.excess_endpoint_ids:
+            return ShareState.EXCEEDED
+        return ShareState.KEPT
--- a/tests/unit/forwarding/test_handover.py
+++ b/tests/unit/forwarding/test_handover.py
@@ -7,9 +7,22 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from standins.forwarding import merge_route
+from standins.forwarding import (
+    ForwardTicks,
+    entry,
+    merge_route,
+    pass_route,
+)
 from standins.simulated_fleet import Faults, SimulatedFleet, started_fleet
 
+from snipesaddle._internal.tables.forwarding.fleet import (
+    NodePhase,
+    NodeRecord,
+    ShareState,
+)
+from snipesaddle._internal.tables.forwarding.messages import NodeBeat
+from snipesaddle._internal.tables.forwarding.store_ranges import Range
+
 CONNECTIONS = 20
 ZONES = {"e1": "a", "e2": "b", "e3": "a", "e4": "b", "e5": "a", "e6": "b"}
 SLOW = Faults(slow_ratio=1.0)
@@ -19,6 +32,7 @@
 # More seeds by hand: FLEET_SEEDS=50.
 RANDOM_SEEDS = range(1, 1 + int(os.environ.get("FLEET_SEEDS", "3")))
 RANDOM_STEPS = 25
+HEARTBEAT_MS = 500
 STEP_KINDS = ["start", "kill", "restart", "leave", "freeze", "wait", "load"]
 NAMES = st.sampled_from(list(ZONES))
 STEPS = st.lists(
@@ -132,6 +146,21 @@
     assert all(run.is_ready for run in fleet.running.values())
 
 
+# The heartbeats of the tick in which its share shrank still said otherwise.
+def test_each_heartbeat_tells_of_requests_above_the_share() -> None:
+    ticks = ForwardTicks([pass_route()], [entry("f1", "file")])
+    for _ in range(CONNECTIONS):
+        ticks.request(b"/file/7")
+    ticks.open_all()
+    # The node appears in the tick of a heartbeat.
+    ticks.now_ms += HEARTBEAT_MS
+    record = NodeRecord("e2", "0001", "e2:1", "e2:2", "a", NodePhase.STARTING)
+    ticks.change(Range.NODES, "e2", record)
+    beats = ticks.sent_to_nodes(NodeBeat)
+    assert beats
+    assert {beat.node.shares for beat in beats} == {ShareState.EXCEEDED}
+
+
 def random_series(seed: int, max_freeze_ms: float) -> SimulatedFleet:
     rng = random.Random(seed)
     fleet = handover_fleet(seed, tuple(ZONES)[: rng.randint(1, len(ZONES))])
