Let a restarted node that is counted already take its share soon

Change: the first write of the record waits until the records have been read, at most 0.1 s. A node that finds the record of an earlier run with shares waits for the first word of any other node only. For 30 s after its start the size of the fleet is at least what others report, since nodes that leave have no record.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -170,6 +170,7 @@
             self._apply_item(world, key, item, now_ns)
         for node_id in world.fleet.nodes.keys() - items.keys():
             world.fleet.nodes[node_id].registered = False
+        presence.write_first(world, now_ns)
 
     def _apply_item(
         self, world: ForwardWorld, key: str, item: object, now_ns: int
@@ -191,6 +192,8 @@
         _renew_incarnation(world, record, now_ns)
         if record.incarnation != world.this_node.incarnation:
             world.presence.stale = True
+            if record.shares is not ShareState.NONE:
+                fleet.is_counted = True
         elif not fleet.own_record_seen:
             fleet.own_record_seen = True
             fleet.active_is_stale = True
@@ -225,7 +228,9 @@
     ) -> None:
         self._on_record(world, beat.node, now_ns)
         fleet = world.fleet
-        fleet.reported_size = max(fleet.reported_size, beat.node.fleet_size)
+        if beat.node.fleet_size > fleet.reported_size:
+            fleet.reported_size = beat.node.fleet_size
+            fleet.active_is_stale = True
         for record in beat.others:
             if record.node_id == world.this_node.node_id:
                 _renew_incarnation(world, record, now_ns)
--- a/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_shares.py
@@ -51,7 +51,10 @@
             node.registered or now_ns - node.last_heard_ns < _SIZE_WINDOW_NS
             for node in fleet.nodes.values()
         )
-    size = fleet.size or fleet.reported_size
+    size = fleet.size
+    if not size or now_ns - world.this_node.started_ns < _SIZE_WINDOW_NS:
+        # The others may know nodes whose records have ended.
+        size = max(size, fleet.reported_size)
     expired = now_ns - fleet.recent_max_seen_ns > _SIZE_WINDOW_NS
     if size >= fleet.recent_max_size or expired:
         fleet.recent_max_size = size
--- a/src/snipesaddle/_internal/systems/forwarding/handover.py
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -6,7 +6,9 @@
 been told of it and have none left above their shares; one whose last request
 of this kind has ended tells the nodes that wait. The records of the nodes are
 written before they are read, so each node knows those that started before it,
-and the sum of the connections stays within the limit.
+and the sum of the connections stays within the limit. A node that restarts
+while its record still stands in the store is counted already, and waits for
+one node only, which tells how many there are.
 
 A node that does not answer soon is assumed to be down, and its connections to
 be closed: a restart of many nodes must not keep the first ones from serving.
@@ -54,27 +56,46 @@
 def _take_when_free(world: ForwardWorld, now_ns: int) -> None:
     this_fleet = world.fleet
     waited_ns = now_ns - world.this_node.started_ns
-    if this_fleet.recent_max_size and not this_fleet.announced_ns:
-        fleet.announce(world, now_ns)
-        this_fleet.announced_ns = now_ns
-    if this_fleet.announced_ns:
-        nodes = this_fleet.nodes.values()
-        if any(_blocks(world, node, now_ns) for node in nodes):
-            due_ns = this_fleet.announced_ns + _MAX_ANSWER_NS
-            if due_ns > now_ns:
-                world.timers.set(TimerKind.SHARE_HANDOVER, _HANDOVER, due_ns)
-            return
-    elif waited_ns < _MAX_UNKNOWN_SIZE_NS:
+    if not _is_free(world, waited_ns, now_ns):
         return
     this_fleet.has_shares = True
     connections.wake_waiting(world)
     world.log(
         "shares_taken",
         fleet_size=this_fleet.recent_max_size,
+        was_counted=this_fleet.is_counted,
         waited_ms=waited_ns // NS_PER_MS,
     )
 
 
+def _is_free(world: ForwardWorld, waited_ns: int, now_ns: int) -> bool:
+    """Returns whether this node's share is free, as far as is known."""
+    this_fleet = world.fleet
+    if this_fleet.recent_max_size and not this_fleet.announced_ns:
+        fleet.announce(world, now_ns)
+        this_fleet.announced_ns = now_ns
+    if not this_fleet.announced_ns:
+        return waited_ns >= _MAX_UNKNOWN_SIZE_NS
+    nodes = this_fleet.nodes.values()
+    if this_fleet.is_counted and _has_heard_any(world):
+        return True
+    if not any(_blocks(world, node, now_ns) for node in nodes):
+        return True
+    due_ns = this_fleet.announced_ns + _MAX_ANSWER_NS
+    if due_ns > now_ns:
+        world.timers.set(TimerKind.SHARE_HANDOVER, _HANDOVER, due_ns)
+    return False
+
+
+def _has_heard_any(world: ForwardWorld) -> bool:
+    """Returns whether another node has told of the size of the fleet."""
+    announced_ns = world.fleet.announced_ns
+    return any(
+        node.last_heard_ns >= announced_ns
+        for node in world.fleet.nodes.values()
+    )
+
+
 def _blocks(world: ForwardWorld, node: PeerNode, now_ns: int) -> bool:
     """Returns whether a node may still use a part of this one's share."""
     announced_ns = world.fleet.announced_ns
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -21,6 +21,7 @@
 
 _RENEWALS_PER_TTL = 3
 _RETRY_DELAY_NS = 500 * NS_PER_MS
+_MAX_FIRST_DELAY_NS = 100 * NS_PER_MS
 _PRESENCE = "presence"
 
 
@@ -53,7 +54,10 @@
     """Writes the record, renews its lease, and removes it on shutdown."""
 
     def start(self, world: ForwardWorld, now_ns: int) -> None:
-        world.timers.set(TimerKind.PRESENCE, _PRESENCE, now_ns)
+        # By then the record of an earlier run has been read, which the new one
+        # replaces.
+        due_ns = now_ns + _MAX_FIRST_DELAY_NS
+        world.timers.set(TimerKind.PRESENCE, _PRESENCE, due_ns)
 
     def run(self, world: ForwardWorld, now_ns: int) -> None:
         presence = world.presence
@@ -114,6 +118,13 @@
         world.emit(RenewPresence(presence.lease_id, timeout_ms))
 
 
+def write_first(world: ForwardWorld, now_ns: int) -> None:
+    """Makes the first write due, now that the records have been read."""
+    presence = world.presence
+    if not presence.lease_id and not presence.call_in_flight:
+        update_now(world, now_ns)
+
+
 def update_now(world: ForwardWorld, now_ns: int) -> None:
     """Makes the next call for the record due now.
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -166,6 +166,8 @@
         that this node may use; 0 while it is not active.
       has_shares: this node may use its shares of what all nodes together may;
         the others have handed them over.
+      is_counted: an earlier run of this node stood in the store and had shares,
+        so those of the others allow for it.
       announced_ns: when this run last told all nodes of itself before it had
         a share; 0 for never.
       unanswered_nodes: nodes without a share that have told of themselves.
@@ -194,6 +196,7 @@
     active_since_ns: int = 0
     active_share: float = 0.0
     has_shares: bool = False
+    is_counted: bool = False
     announced_ns: int = 0
     unanswered_nodes: list[PeerNode] = field(default_factory=list)
     excess_endpoint_ids: dict[str, None] = field(default_factory=dict)
