Let a starting node watch endpoints as often as an active one

Cause: a node that waits for its share is not active yet, so it paused 1.2 s after a watch with changes. Change: while it starts, the short pause. Test: test_a_started_node_learns_of_endpoints_while_it_waits, failed before.

--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -22,6 +22,7 @@
     RangeFailed,
     RangeListed,
 )
+from snipesaddle._internal.tables.forwarding.fleet import NodePhase
 from snipesaddle._internal.tables.forwarding.routes import RouteConfig
 from snipesaddle._internal.tables.forwarding.store_ranges import (
     Item,
@@ -174,11 +175,13 @@
     def _watch_pause_ns(self, world: ForwardWorld, cache: RangeCache) -> int:
         settings = world.settings.store
         is_active = activity.is_active(world)
+        # Clients may be sent to a node that starts before the pause ends.
+        is_starting = world.this_node.phase is NodePhase.STARTING
         if cache.range is Range.NODES:
             gap_ms = (
                 settings.node_gap_ms if is_active else settings.idle_node_gap_ms
             )
-        elif cache.range is Range.CONFIG or is_active:
+        elif cache.range is Range.CONFIG or is_active or is_starting:
             gap_ms = settings.watch_gap_ms
         else:
             gap_ms = settings.idle_gap_ms
--- a/tests/unit/forwarding/test_handover.py
+++ b/tests/unit/forwarding/test_handover.py
@@ -146,6 +146,21 @@
     assert all(run.is_ready for run in fleet.running.values())
 
 
+# While it waited, it watched the endpoints as rarely as one without clients.
+def test_a_started_node_learns_of_endpoints_while_it_waits() -> None:
+    fleet = handover_fleet(1, ("e1", "e2", "e3"))
+    for name in ("e1", "e2", "e3"):
+        fleet.kill(name)
+    fleet.start("e1")
+    for endpoint_id in ("s0x", "s0y"):
+        fleet.advance(100)
+        assert not fleet.running["e1"].is_ready
+        fleet.add_endpoint(entry(endpoint_id, "s0", address=f"{endpoint_id}:1"))
+    fleet.advance(400)
+    assert fleet.running["e1"].is_ready
+    assert fleet.running["e1"].world.endpoints.keys() >= {"s0x", "s0y"}
+
+
 # The heartbeats of the tick in which its share shrank still said otherwise.
 def test_each_heartbeat_tells_of_requests_above_the_share() -> None:
     ticks = ForwardTicks([pass_route()], [entry("f1", "file")])
