Count in the soak only answers that said that a leaf leaves

The check took any answer that a client got while the leaf was leaving; one that was on its way when the leaf began to leave had no Server-Leaving.

Change: the leaf notes which answers said it, and only these count: the words of the rule.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -210,14 +210,17 @@
         self.seen.outcomes[f"{path.split('/')[1][:5]} {reply.status_code}"] += 1
         if reply.status_code in _NOT_RUN:
             self.seen.refused.add(key)
-        self._note_leaving(process, reply.headers)
+        self._note_leaving(process, key, reply.headers)
         return reply
 
-    def _note_leaving(self, process: int, headers: httpx.Headers) -> None:
+    def _note_leaving(
+        self, process: int, key: str, headers: httpx.Headers
+    ) -> None:
         stamps = headers.get("part-stamps") or headers.get("server-stamp", "")
         told = {stamp.split(":")[1] for stamp in stamps.split(", ") if stamp}
         for leaf in self._soak_leafs():
-            if leaf.leaf_id in told and leaf.says_leaving:
+            # An answer that was on its way when it began to leave says nothing.
+            if leaf.leaf_id in told and key.encode() in leaf.leaving_ids:
                 start = (process, leaf.leaf_id, leaf.born)
                 self.seen.told_ns.setdefault(start, time.monotonic_ns())
 
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -179,7 +179,11 @@
 
 @dataclass
 class LeafStandIn(RequestHandler):
-    """A leaf that answers with its own records, and counts its runs."""
+    """A leaf that answers with its own records, and counts its runs.
+
+    Attributes:
+      leaving_ids: the requests whose answers said that it leaves.
+    """
 
     leaf_id: str
     service: str
@@ -189,6 +193,7 @@
     work_s: float = 0.0
     says_leaving: bool = False
     runs: list[HttpRequest] = field(default_factory=list)
+    leaving_ids: set[bytes] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self)
@@ -223,6 +228,7 @@
             (b"Content-Length", b"%d" % length),
         )
         if self.says_leaving:
+            self.leaving_ids.add(request.header(b"request-id") or b"")
             headers = (*headers, (b"Server-Leaving", b"1"))
         closing = self.mode == "short"
         asyncio.get_running_loop().call_later(
