Look endpoints up and tell single nodes in one place each

Read again as a whole; behaviour is the same. Rate limits looked endpoints up in two tables as retention does; two functions sent this node's record to one node; the question whether a share is free announced the node and set a timer; the notice of a silent store was taken back by what read like a question; the server asked its parser for the method twice. The soak names what it does plainly.

--- a/src/snipesaddle/_internal/adapters/http1/server.py
+++ b/src/snipesaddle/_internal/adapters/http1/server.py
@@ -319,7 +319,7 @@
         if self._error is not None:
             return
         request = HttpRequest(
-            self._parser.get_method(),
+            self._received_method,
             self._target,
             tuple(self._headers),
             b"".join(self._body),
--- a/src/snipesaddle/_internal/systems/forwarding/confirmation.py
+++ b/src/snipesaddle/_internal/systems/forwarding/confirmation.py
@@ -79,11 +79,14 @@
     return now_ns + wait_ms * NS_PER_MS + _MAX_ANSWER_NS
 
 
-def takes_answer_for_recovery(world: ForwardWorld, now_ns: int) -> bool:
-    """Returns whether an answer ends a silence that a peer has noticed.
+def take_overdue_notice(world: ForwardWorld, now_ns: int) -> bool:
+    """Ends the notice of a peer that the store is silent, at an answer.
 
     This node's own watches may have been waiting all the time; in a short
     silence none of its calls is overdue.
+
+    Returns:
+      Whether there was a recent one, so that the answer ends a silence.
     """
     store = world.store
     age_ns = now_ns - store.peer_overdue_ns
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -94,6 +94,17 @@
         world.emit(SendToNode(node.record.peer_address, heartbeat))
 
 
+def tell(
+    world: ForwardWorld,
+    peer_address: str,
+    now_ns: int,
+    others: tuple[NodeRecord, ...] = (),
+) -> None:
+    """Tells one node at once of this one, and of other records."""
+    heartbeat = NodeBeat(this_node_record(world, now_ns), others)
+    world.emit(SendToNode(peer_address, heartbeat))
+
+
 def _other_active_records(
     world: ForwardWorld, now_ns: int
 ) -> tuple[NodeRecord, ...]:
@@ -243,7 +254,8 @@
         confirmation.record_peer(world, beat.node, now_ns)
         node = fleet.nodes[beat.node.node_id]
         if beat.node.incarnation < node.record.incarnation:
-            _tell_later_run(world, beat.node.peer_address, node, now_ns)
+            # Its clock has been set back since, or it has been replaced.
+            tell(world, beat.node.peer_address, now_ns, (node.record,))
         if beat.node.shares is ShareState.NONE:
             fleet.unanswered_nodes.append(node)
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
@@ -278,18 +290,6 @@
     )
 
 
-def _tell_later_run(
-    world: ForwardWorld, peer_address: str, node: PeerNode, now_ns: int
-) -> None:
-    """Tells a run of a node of a record that sorts higher than its own.
-
-    Its clock has been set back since that record was written, or it has been
-    replaced.
-    """
-    beat = NodeBeat(this_node_record(world, now_ns), (node.record,))
-    world.emit(SendToNode(peer_address, beat))
-
-
 def _renew_incarnation(
     world: ForwardWorld, record: NodeRecord, now_ns: int
 ) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/handover.py
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -19,14 +19,11 @@
     connections,
     fleet,
 )
-from snipesaddle._internal.systems.forwarding.presence import this_node_record
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
-from snipesaddle._internal.tables.forwarding.commands import SendToNode
 from snipesaddle._internal.tables.forwarding.fleet import (
     PeerNode,
     ShareState,
 )
-from snipesaddle._internal.tables.forwarding.messages import NodeBeat
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 from snipesaddle._internal.tables.timers import TimerKind
 
@@ -55,8 +52,14 @@
 
 def _take_when_free(world: ForwardWorld, now_ns: int) -> None:
     this_fleet = world.fleet
+    if this_fleet.recent_max_size and not this_fleet.announced_ns:
+        fleet.announce(world, now_ns)
+        this_fleet.announced_ns = now_ns
     waited_ns = now_ns - world.this_node.started_ns
     if not _is_free(world, waited_ns, now_ns):
+        due_ns = this_fleet.announced_ns + _MAX_ANSWER_NS
+        if this_fleet.announced_ns and due_ns > now_ns:
+            world.timers.set(TimerKind.SHARE_HANDOVER, _HANDOVER, due_ns)
         return
     this_fleet.has_shares = True
     connections.wake_waiting(world)
@@ -71,20 +74,13 @@
 def _is_free(world: ForwardWorld, waited_ns: int, now_ns: int) -> bool:
     """Returns whether this node's share is free, as far as is known."""
     this_fleet = world.fleet
-    if this_fleet.recent_max_size and not this_fleet.announced_ns:
-        fleet.announce(world, now_ns)
-        this_fleet.announced_ns = now_ns
     if not this_fleet.announced_ns:
         return waited_ns >= _MAX_UNKNOWN_SIZE_NS
-    nodes = this_fleet.nodes.values()
     if this_fleet.is_counted and _has_heard_any(world):
         return True
-    if not any(_blocks(world, node, now_ns) for node in nodes):
-        return True
-    due_ns = this_fleet.announced_ns + _MAX_ANSWER_NS
-    if due_ns > now_ns:
-        world.timers.set(TimerKind.SHARE_HANDOVER, _HANDOVER, due_ns)
-    return False
+    return not any(
+        _blocks(world, node, now_ns) for node in this_fleet.nodes.values()
+    )
 
 
 def _has_heard_any(world: ForwardWorld) -> bool:
@@ -116,7 +112,7 @@
         return
     for node in this_fleet.nodes.values():
         if node.record.shares is ShareState.NONE:
-            _tell(world, node, now_ns)
+            fleet.tell(world, node.record.peer_address, now_ns)
 
 
 def _answer_started_nodes(world: ForwardWorld, now_ns: int) -> None:
@@ -124,10 +120,5 @@
     for node in world.fleet.unanswered_nodes:
         if node.answered_incarnation != node.record.incarnation:
             node.answered_incarnation = node.record.incarnation
-            _tell(world, node, now_ns)
+            fleet.tell(world, node.record.peer_address, now_ns)
     world.fleet.unanswered_nodes.clear()
-
-
-def _tell(world: ForwardWorld, node: PeerNode, now_ns: int) -> None:
-    beat = NodeBeat(this_node_record(world, now_ns))
-    world.emit(SendToNode(node.record.peer_address, beat))
--- a/src/snipesaddle/_internal/systems/forwarding/rate_limits.py
+++ b/src/snipesaddle/_internal/systems/forwarding/rate_limits.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
-from snipesaddle._internal.systems.forwarding import fleet_shares
+from snipesaddle._internal.systems.forwarding import fleet_shares, retention
 from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S
 from snipesaddle._internal.tables.forwarding.endpoints import (
     Endpoint,
@@ -92,7 +92,7 @@
 ) -> None:
     """Records limits that another node has got with answers."""
     for told in limits:
-        endpoint = _known_endpoint(world, told.endpoint_id)
+        endpoint = retention.known_endpoint(world, told.endpoint_id)
         if (
             endpoint is not None
             and endpoint.entry.born_unix_ms == told.born_unix_ms
@@ -107,7 +107,7 @@
     if not world.limited_endpoint_ids:
         return ()
     endpoints = {
-        endpoint_id: _known_endpoint(world, endpoint_id)
+        endpoint_id: retention.known_endpoint(world, endpoint_id)
         for part in request.parts
         for endpoint_id in part.tried
     }
@@ -122,12 +122,6 @@
     )
 
 
-def _known_endpoint(world: ForwardWorld, endpoint_id: str) -> Endpoint | None:
-    """Returns an endpoint's row, also if its registration has ended."""
-    endpoint = world.endpoints.get(endpoint_id)
-    return endpoint or world.removed_endpoints.get(endpoint_id)
-
-
 def _share_per_s(world: ForwardWorld, limit: RateLimit) -> float:
     requests_per_s = max(limit.max_requests_per_s, _MIN_REQUESTS_PER_S)
     return fleet_shares.share_of(world, requests_per_s)
--- a/src/snipesaddle/_internal/systems/forwarding/retention.py
+++ b/src/snipesaddle/_internal/systems/forwarding/retention.py
@@ -14,10 +14,7 @@
 
 from snipesaddle._internal.systems.forwarding import departures
 from snipesaddle._internal.systems.tick import NS_PER_S
-from snipesaddle._internal.tables.forwarding.endpoints import (
-    Endpoint,
-    EndpointEntry,
-)
+from snipesaddle._internal.tables.forwarding.endpoints import Endpoint
 from snipesaddle._internal.tables.forwarding.requests import Attempt
 from snipesaddle._internal.tables.forwarding.world import ForwardWorld
 from snipesaddle._internal.tables.timers import TimerKind
@@ -46,21 +43,23 @@
     endpoint.take_over(removed)
 
 
-def find(world: ForwardWorld, entry: EndpointEntry) -> Endpoint | None:
-    """Returns the row of a run of an endpoint, in use or kept aside."""
-    for rows in (world.endpoints, world.removed_endpoints):
-        endpoint = rows.get(entry.endpoint_id)
-        if endpoint is not None and not departures.is_new_instance(
-            endpoint.entry, entry
-        ):
-            return endpoint
-    return None
+def known_endpoint(world: ForwardWorld, endpoint_id: str) -> Endpoint | None:
+    """Returns the row of an endpoint, in use or kept aside."""
+    endpoint = world.endpoints.get(endpoint_id)
+    return endpoint or world.removed_endpoints.get(endpoint_id)
 
 
 def endpoint_of(world: ForwardWorld, attempt: Attempt) -> Endpoint | None:
-    """Returns the row to which the result of an attempt belongs."""
-    endpoint = world.endpoint_of(attempt)
-    return endpoint if endpoint else find(world, attempt.entry)
+    """Returns the row to which the result of an attempt belongs.
+
+    None if it was forgotten, or if a new run of the endpoint has its id.
+    """
+    endpoint = known_endpoint(world, attempt.endpoint_id)
+    if endpoint is None or departures.is_new_instance(
+        endpoint.entry, attempt.entry
+    ):
+        return None
+    return endpoint
 
 
 def forget_due(world: ForwardWorld, now_ns: int) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -230,7 +230,7 @@
         is_recovery = (
             cache.consecutive_failures
             or cache.overdue
-            or confirmation.takes_answer_for_recovery(world, now_ns)
+            or confirmation.take_overdue_notice(world, now_ns)
         )
         if is_recovery and world.store.is_ok:
             # One failed or lost watch may have been a short outage, so the
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,7 @@
 Nodes run as processes; leafs, the store and the proxies before them are
 stand-ins here. Faults come in lanes that overlap: nodes are killed, paused,
 stopped and started, all of them too, some with their clocks set forward or
-back; leafs are born again under their ids; connections are cut, silenced,
+back; leafs start again under their ids; connections are cut, silenced,
 delayed, or lose what comes back; the store goes away, or is silent beside
 changes; leafs say in their answers that they leave. Promises are checked from
 what clients and leafs see. Exit status 1 if one was broken.
@@ -275,7 +275,7 @@
         faults: tuple[Callable[[random.Random], Awaitable[None]], ...] = (
             self._kill,
             self._kill_all,
-            self._rebirth,
+            self._restart_leaf,
             self._restart,
             self._pause,
             self._harm_store,
@@ -338,10 +338,10 @@
             self.site.start_node(name, _clock_offset_s(rng))
             self.busy.discard(name)
 
-    async def _rebirth(self, rng: random.Random) -> None:
+    async def _restart_leaf(self, rng: random.Random) -> None:
         """Has a leaf end and start again under its id, at its address."""
         leaf = rng.choice(self._soak_leafs())
-        self.faults.append(f"{leaf.leaf_id} is born again")
+        self.faults.append(f"{leaf.leaf_id} starts again")
         key = f"servers/{leaf.leaf_id}"
         for scope in list(self.routes[leaf.leaf_id].scopes):
             scope.cancel()
--- a/tests/unit/forwarding/test_clock_steps.py
+++ b/tests/unit/forwarding/test_clock_steps.py
@@ -9,6 +9,10 @@
 from standins.simulated_fleet import SimulatedFleet, started_fleet
 
 from snipesaddle._internal import incarnations
+from snipesaddle._internal.tables.forwarding.fleet import (
+    NodePhase,
+    NodeRecord,
+)
 from snipesaddle._internal.tables.forwarding.messages import NodeBeat
 
 NODES = {"e1": "a", "e2": "b", "e3": "a", "e4": "b"}
@@ -62,15 +66,8 @@
     ticks.beat("e2")
     (heard,) = ticks.world.fleet.nodes.values()
     own = ticks.world.this_node.incarnation
-    replaced_by = NodeBeat(
-        heard.record,
-        (
-            type(heard.record)(
-                "e1", "0002", "e1:1", "e1:2", "a", heard.record.phase
-            ),
-        ),
-    )
-    ticks.tick(replaced_by)
+    later = NodeRecord("e1", "0002", "e1:1", "e1:2", "a", NodePhase.SERVING)
+    ticks.tick(NodeBeat(heard.record, (later,)))
     assert ticks.world.this_node.incarnation == own
 
 
