--- a/review/site2/store.py
+++ b/review/site2/store.py
@@ -1,11 +1,13 @@
 """A stand-in of the platform's store: keys, ranges, watches and leases.
 
 It listens on an address for each machine that it shall tell apart, and can
-turn one machine away while it serves the others.
+turn one machine away while it serves the others. It can be away and come back
+from an older copy of itself.
 """
 
 import asyncio
 import base64
+import copy
 import itertools
 import json
 from urllib.parse import parse_qs
@@ -19,7 +21,7 @@
     """Keeps all history; answers are linearizable."""
 
     def __init__(self) -> None:
-        self.server = Server(self._handle)
+        self.server = Server(self._answer)
         self.items: dict[str, dict] = {}
         self.history: list[dict] = []
         self.revision = 1
@@ -30,6 +32,8 @@
         self._machines: dict[str, Server] = {}
         self.refused: set[str] = set()
         self.renewed_s: dict[int, float] = {}
+        self.era = 0
+        self.is_away = False
 
     async def address_for(self, machine: str) -> str:
         """Returns the address at which a machine calls the store."""
@@ -38,7 +42,7 @@
             async def handle(request: Message) -> Reply | None:
                 if machine in self.refused:
                     return _json(503, {})
-                reply = await self._handle(request)
+                reply = await self._answer(request)
                 # A watch that was waiting when the refusals began.
                 return _json(503, {}) if machine in self.refused else reply
 
@@ -87,6 +91,31 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    def copy(self) -> tuple:
+        """Returns a copy of all that it holds."""
+        held = (self.items, self.history, self.revision, self._leases)
+        return copy.deepcopy(held)
+
+    def restore(self, held: tuple) -> None:
+        """Comes back from a copy; leases run on from now."""
+        self.items, self.history, self.revision, leases = copy.deepcopy(held)
+        self._leases = {}
+        for lease, (_, ttl_s) in leases.items():
+            self._renew(lease, ttl_s)
+        self.era += 1
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _answer(self, request: Message) -> Reply | None:
+        era = self.era
+        reply = None if self.is_away else await self._handle(request)
+        if reply is None or era != self.era:
+            # A watch from before a restore continues from another history.
+            reply = _json(503 if self.is_away else 410, {})
+        if self.era:
+            reply[1].append(("Store-Era", str(self.era)))
+        return reply
+
     async def _handle(self, request: Message) -> Reply | None:
         path, _, query = request.target.partition("?")
         fields = {key: found[0] for key, found in parse_qs(query).items()}
@@ -98,6 +127,8 @@
         if verb == "kv-range":
             return _json(200, self._range(fields))
         if verb == "kv-watch":
+            if int(fields["after"]) > self.revision:
+                return _json(410, {})
             return _json(200, await self._watch(fields))
         if verb == "kv-txn":
             return self._txn(json.loads(request.body))
