Give ids of messages between nodes a run

Cause: ids of rows and messages started at 1 in each run, and RelayReply, RelayCancel and QuotaReply name nothing but an id. A reply to the earlier run reaches the new one, which has the same address and gives out the same ids. Besides parts of other requests this mixed up cancels (the second relay of an origin replaced the first) and grants of quotas.

Evidence: all parts of a wrong answer belonged to one earlier request, while the endpoints ran the new ones.

Change: the upper bits of an id hold a number of the run (run_ids). No new field, so nodes of the version before, which return ids as they are, are covered as well. Dropped replies are counted and logged; FreshnessReply, which named its run already, is counted too.

--- a/src/snipesaddle/_internal/daemon/forward_node.py
+++ b/src/snipesaddle/_internal/daemon/forward_node.py
@@ -12,7 +12,7 @@
 
 from absl import logging
 
-from snipesaddle._internal import incarnations
+from snipesaddle._internal import incarnations, run_ids
 from snipesaddle._internal.adapters.http1.client_intake import ClientIntake
 from snipesaddle._internal.adapters.zmq_peer import ZmqPeerTransport
 from snipesaddle._internal.daemon import forward_loop
@@ -52,6 +52,7 @@
     """Returns the world of a starting node, with empty tables."""
     node = settings.node
     seed = settings.seed
+    run_number = run_ids.run_number(incarnation)
     return ForwardWorld(
         settings=settings,
         this_node=ThisNode(
@@ -60,7 +61,9 @@
             front_address=node.front,
             peer_address=node.peer,
             zone=node.zone,
+            run_number=run_number,
         ),
+        ids=run_ids.counter(run_number),
         rng=random.Random(secrets.randbits(64) if seed is None else seed),
     )
 
--- a/src/snipesaddle/_internal/systems/forwarding/config_questions.py
+++ b/src/snipesaddle/_internal/systems/forwarding/config_questions.py
@@ -7,7 +7,11 @@
 
 from collections.abc import Sequence
 
-from snipesaddle._internal.systems.forwarding import config_proofs, peer_sync
+from snipesaddle._internal.systems.forwarding import (
+    config_proofs,
+    earlier_runs,
+    peer_sync,
+)
 from snipesaddle._internal.systems.tick import NS_PER_MS
 from snipesaddle._internal.tables.forwarding.commands import SendToNode
 from snipesaddle._internal.tables.forwarding.freshness import (
@@ -115,6 +119,7 @@
     may have used the same number.
     """
     if message.incarnation != world.this_node.incarnation:
+        earlier_runs.record_reply(world, message)
         return None
     question = world.freshness.questions.pop(message.number, None)
     if question is not None:
--- a/src/snipesaddle/_internal/systems/forwarding/quota_questions.py
+++ b/src/snipesaddle/_internal/systems/forwarding/quota_questions.py
@@ -8,6 +8,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     completion,
+    earlier_runs,
     quota_buckets,
     quota_charges,
     quota_decisions,
@@ -115,6 +116,9 @@
         self, world: ForwardWorld, reply: QuotaReply, now_ns: int
     ) -> None:
         """Decides on the request that waits for a reply."""
+        if earlier_runs.has_asked(world, reply.ask_id):
+            earlier_runs.record_reply(world, reply)
+            return
         question = world.quotas.questions.pop(reply.ask_id, None)
         if question is None:
             return
--- a/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
@@ -10,6 +10,7 @@
     attempts,
     containment,
     departures,
+    earlier_runs,
     placement,
     rate_limits,
     relaying,
@@ -97,6 +98,9 @@
     ) -> None:
         departures.record_told(world, reply.leaving, now_ns)
         rate_limits.record_told(world, reply.limits, now_ns)
+        if earlier_runs.has_asked(world, reply.relay_id):
+            earlier_runs.record_reply(world, reply)
+            return
         relay = world.relays.get(reply.relay_id)
         request = world.requests.get(relay.request_id) if relay else None
         if relay is None or request is None:
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -128,6 +128,8 @@
     """This node.
 
     Attributes:
+      run_number: names this run in the ids of its messages; unlike the
+        incarnation, it is never renewed.
       started_ns: when its systems started.
       leave_requested_ns: when its shutdown was requested; 0 for never.
       exit_deadline_ns: when its process exits at the latest.
@@ -139,6 +141,7 @@
     front_address: str
     peer_address: str
     zone: str
+    run_number: int = 0
     phase: NodePhase = NodePhase.STARTING
     sequence: int = 0
     started_ns: int = 0
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -3,6 +3,9 @@
 Messages are encoded as arrays without field names, because traffic between
 zones is expensive, and all nodes run the same version or adjacent ones. New
 fields go at the end and need a default.
+
+The ids by which replies and cancellations are matched differ between the runs
+of the asking node (`run_ids`), since a reply can reach a later run.
 """
 
 import msgspec
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -93,6 +93,7 @@
     budget_denials: int = 0
     relays: int = 0
     relays_failed: int = 0
+    replies_to_earlier_runs: int = 0
     endpoint_refusals: int = 0
     endpoint_failures: int = 0
     leaving_answers: int = 0
--- a/src/snipesaddle/_internal/tables/tick_world.py
+++ b/src/snipesaddle/_internal/tables/tick_world.py
@@ -29,6 +29,7 @@
     Attributes:
       inbox: the events for the next tick.
       outbox: the commands that the systems have emitted in this tick.
+      ids: the ids that rows and messages get, in their order.
     """
 
     inbox: Inbox = field(default_factory=Inbox)
--- a/tests/standins/forwarding.py
+++ b/tests/standins/forwarding.py
@@ -105,6 +105,7 @@
         routes: list[Route],
         entries: list[EndpointEntry],
         chooser: EndpointChooser | None = None,
+        incarnation: str = "0001",
         **sections: Any,
     ) -> None:
         address = "127.0.0.1:1"
@@ -123,7 +124,7 @@
             **sections,
         )
         self.now_ms = 1_000.0
-        self.world = build_world(settings, "0001")
+        self.world = build_world(settings, incarnation)
         self._schedule = ForwardSchedule(chooser)
         self._schedule.start(self.world, self.now_ns)
         self.world.this_node.started_ns = self.now_ns - _UP_NS
@@ -273,11 +274,11 @@
         self.tick(events.ConnectionEnded(attempt.connection_id, True, "reset"))
 
 
-def relaying_node() -> ForwardTicks:
+def relaying_node(incarnation: str = "0001") -> ForwardTicks:
     """Returns a node that has shards s1 to s3 gathered in zone b."""
     entries = [entry("s0a", "s0")]
     for number in range(1, 4):
         entries.append(entry(f"s{number}b", f"s{number}", zone="b"))
-    ticks = ForwardTicks([merge_route(4)], entries)
+    ticks = ForwardTicks([merge_route(4)], entries, incarnation=incarnation)
     ticks.beat("e2", zone="b")
     return ticks
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -131,6 +131,8 @@
       keyed_runs: all attempts of requests with API keys.
       ran: when requests first ran at an endpoint, by tenant and request id.
       peak_connections: the most connections at one time, by endpoint.
+      mixed_requests: the ids of the requests that were answered with a part of
+        another request.
     """
 
     def __init__(
@@ -153,6 +155,7 @@
         self.answers: Counter[str] = Counter()
         self.connections: Counter[str] = Counter()
         self.peak_connections: Counter[str] = Counter()
+        self.mixed_requests: list[bytes] = []
         self.running: dict[str, Running] = {}
         self._config = config
         self._configs = {config.version: config}
@@ -368,8 +371,8 @@
                 self.at(_LINK_MS, lambda: self._arrive(run, command))
             case commands.SetReadiness(ready):
                 run.is_ready = ready
-            case commands.SendMergedAnswer(missing=missing):
-                self.answers["partial" if missing else "whole"] += 1
+            case commands.SendMergedAnswer():
+                self._record_merged(command)
             case commands.SendEndpointAnswer():
                 self.answers["whole"] += 1
             case commands.SendError(error_kind=kind):
@@ -377,6 +380,15 @@
             case _:
                 pass
 
+    def _record_merged(self, answer: commands.SendMergedAnswer) -> None:
+        self.answers["partial" if answer.missing else "whole"] += 1
+        request_id = b"r%d" % answer.client_id
+        answered_ids = {
+            signature.partition(b" ")[0] for signature in answer.signatures
+        }
+        if answered_ids - {request_id}:
+            self.mixed_requests.append(request_id)
+
     def _call_range(
         self, run: Running, call: commands.ListRange | commands.WatchRange
     ) -> None:
@@ -478,7 +490,7 @@
         if chance < faults.refused_ratio + faults.lost_ratio:
             self.at(work_ms, lambda: self._lose(run, attempt))
             return
-        signature = b"%d" % next(self._order)
+        signature = b"%b %d" % (request_id, next(self._order))
         answer = EndpointAnswer(
             200,
             b"",
@@ -525,9 +537,10 @@
     max_connections: int,
     seed: int,
     tenants: TenantIndex | None = None,
+    endpoint_zones: Iterable[str] = ("a", "b"),
     **sections: Any,
 ) -> SimulatedFleet:
-    """Returns a fleet that serves, with an endpoint a shard in zones a and b.
+    """Returns a fleet that serves, with an endpoint a shard in some zones.
 
     Args:
       route: the only route.
@@ -536,6 +549,7 @@
       max_connections: the connection limit of each endpoint.
       seed: of all that is random.
       tenants: whose requests are served; None if they need no API key.
+      endpoint_zones: the zones that have an endpoint of each shard.
       **sections: sections of the settings of all nodes.
     """
     config = RouteConfig(
@@ -552,7 +566,7 @@
     entries = [
         entry(f"{name}{zone}", name, zone=zone, address=f"{name}{zone}:1")
         for name in route.services
-        for zone in "ab"
+        for zone in endpoint_zones
     ]
     retries = RetrySettings(ratio=0.2, slack=58.0, window_s=10)
     fleet = SimulatedFleet(config, entries, zones, retries, seed, **sections)
