--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -16,18 +16,15 @@
     containment,
     evacuations,
     fleet_shares,
+    heartbeats,
     peer_sync,
     presence,
     retries,
     store_eras,
     work_estimates,
 )
-from snipesaddle._internal.systems.forwarding.presence import this_node_record
 from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S, TickSystem
-from snipesaddle._internal.tables.forwarding.commands import (
-    DisconnectPeer,
-    SendToNode,
-)
+from snipesaddle._internal.tables.forwarding.commands import DisconnectPeer
 from snipesaddle._internal.tables.forwarding.fleet import (
     NodeRecord,
     PeerNode,
@@ -46,81 +43,6 @@
 _MAX_RENEWAL_AGE_NS = 30_000 * NS_PER_MS
 
 
-def heartbeat_targets(world: ForwardWorld) -> list[PeerNode]:
-    """Returns the nodes that this one sends its heartbeats to.
-
-    In a small fleet, and while no node is known to be active, heartbeats go to
-    all nodes, up to the setting `reach`. Otherwise traffic between zones, which
-    is expensive, is left to the active nodes: they send heartbeats to each
-    other, to all nodes of their zone, and to zones without an active node.
-    Idle nodes send them to the active nodes of their zone.
-    """
-    fleet = world.fleet
-    nodes = list(fleet.nodes.values())
-    small = len(nodes) < world.settings.fleet.small
-    if small or not fleet.active_node_ids:
-        return nodes[: world.settings.fleet.reach]
-    is_active = activity.is_active(world)
-    active_zones = {
-        node.record.zone
-        for node in nodes
-        if node.record.node_id in fleet.active_node_ids
-    }
-    targets = []
-    for node in nodes:
-        is_same_zone = node.record.zone == world.this_node.zone
-        if node.record.node_id in fleet.active_node_ids:
-            is_target = is_active or is_same_zone
-        else:
-            is_target = is_active and (
-                is_same_zone or node.record.zone not in active_zones
-            )
-        if is_target:
-            targets.append(node)
-    return targets
-
-
-def send_heartbeats(world: ForwardWorld, now_ns: int) -> None:
-    """Sends a heartbeat to each of the heartbeat targets."""
-    record = this_node_record(world, now_ns)
-    short = NodeBeat(record)
-    full = NodeBeat(record, _other_active_records(world, now_ns))
-    for node in heartbeat_targets(world):
-        is_idle = node.record.node_id not in world.fleet.active_node_ids
-        heartbeat = full if is_idle else short
-        world.emit(SendToNode(node.record.peer_address, heartbeat))
-
-
-def announce(world: ForwardWorld, now_ns: int) -> None:
-    """Tells all nodes at once of this node and its phase."""
-    heartbeat = NodeBeat(this_node_record(world, now_ns))
-    for node in world.fleet.nodes.values():
-        world.emit(SendToNode(node.record.peer_address, heartbeat))
-
-
-def tell(
-    world: ForwardWorld,
-    peer_address: str,
-    now_ns: int,
-    others: tuple[NodeRecord, ...] = (),
-) -> None:
-    """Tells one node at once of this one, and of other records."""
-    heartbeat = NodeBeat(this_node_record(world, now_ns), others)
-    world.emit(SendToNode(peer_address, heartbeat))
-
-
-def _other_active_records(
-    world: ForwardWorld, now_ns: int
-) -> tuple[NodeRecord, ...]:
-    if not activity.is_active(world):
-        return ()
-    return tuple(
-        node.record
-        for node in activity.live_active_peers(world, now_ns)
-        if node.record.zone != world.this_node.zone and node.last_heard_ns
-    )
-
-
 class FleetSystem(TickSystem[ForwardWorld]):
     """Maintains the table of the other nodes and sends the heartbeats."""
 
@@ -140,7 +62,7 @@
                 self._apply_item(world, change.key, change.item, now_ns)
         if world.fleet.own_record_seen and not had_seen_own_record:
             # Nodes that read the records before do not know of this one.
-            announce(world, now_ns)
+            heartbeats.announce(world, now_ns)
             world.fleet.announced_ns = now_ns
         beats = world.inbox.take(NodeBeat)
         containment.run_each(world, beats, self._on_beat, now_ns)
@@ -161,7 +83,7 @@
         # Once in a heartbeat, so that the others' growth is known by the next.
         may_grow = world.fleet.has_shares
         connection_shares.update(world, now_ns, may_grow=may_grow)
-        send_heartbeats(world, now_ns)
+        heartbeats.send_regular(world, now_ns)
         self._remove_expired(world, now_ns)
 
     def _update_shares(self, world: ForwardWorld, now_ns: int) -> None:
@@ -267,7 +189,9 @@
         node = fleet.nodes[beat.node.node_id]
         if beat.node.incarnation < node.record.incarnation:
             # Its clock has been set back since, or it has been replaced.
-            tell(world, beat.node.peer_address, now_ns, (node.record,))
+            heartbeats.tell(
+                world, beat.node.peer_address, now_ns, (node.record,)
+            )
         if beat.node.shares is ShareState.NONE:
             fleet.unanswered_nodes.append(node)
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
@@ -328,7 +252,7 @@
     world.fleet.own_record_seen = False
     world.presence.stale = True
     presence.update_now(world, now_ns)
-    announce(world, now_ns)
+    heartbeats.announce(world, now_ns)
     world.log(
         "incarnation_renewed",
         earlier=earlier,
--- a/src/snipesaddle/_internal/systems/forwarding/handover.py
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -19,8 +19,8 @@
     activity,
     connection_shares,
     connections,
-    fleet,
     fleet_shares,
+    heartbeats,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.fleet import (
@@ -56,7 +56,7 @@
 def _take_when_free(world: ForwardWorld, now_ns: int) -> None:
     this_fleet = world.fleet
     if this_fleet.recent_max_size and not this_fleet.announced_ns:
-        fleet.announce(world, now_ns)
+        heartbeats.announce(world, now_ns)
         this_fleet.announced_ns = now_ns
     waited_ns = now_ns - world.this_node.started_ns
     if not _is_free(world, waited_ns, now_ns):
@@ -120,7 +120,7 @@
         world.presence.stale = True
     for node in this_fleet.nodes.values():
         if node.record.shares is ShareState.NONE:
-            fleet.tell(world, node.record.peer_address, now_ns)
+            heartbeats.tell(world, node.record.peer_address, now_ns)
 
 
 def _answer_started_nodes(world: ForwardWorld, now_ns: int) -> None:
@@ -128,5 +128,5 @@
     for node in world.fleet.unanswered_nodes:
         if node.answered_incarnation != node.record.incarnation:
             node.answered_incarnation = node.record.incarnation
-            fleet.tell(world, node.record.peer_address, now_ns)
+            heartbeats.tell(world, node.record.peer_address, now_ns)
     world.fleet.unanswered_nodes.clear()
--- a/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
+++ b/src/snipesaddle/_internal/systems/forwarding/lifecycle.py
@@ -8,7 +8,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     activity,
-    fleet,
+    heartbeats,
     presence,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, NS_PER_S, TickSystem
@@ -59,7 +59,7 @@
         world.presence.stale = True
         presence.update_now(world, now_ns)
         activity.refresh_active(world, now_ns)
-        fleet.announce(world, now_ns)
+        heartbeats.announce(world, now_ns)
         world.emit(SetReadiness(True))
         world.log(
             "serving",
@@ -86,7 +86,7 @@
         world.emit(SetReadiness(False))
         world.presence.stale = True
         presence.update_now(world, now_ns)
-        fleet.announce(world, now_ns)
+        heartbeats.announce(world, now_ns)
         world.log("leaving", open_requests=len(world.requests))
 
     def _exit_if_finished(self, world: ForwardWorld, now_ns: int) -> None:
--- a/src/snipesaddle/_internal/systems/forwarding/store_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/store_sync.py
@@ -9,8 +9,8 @@
     activity,
     confirmation,
     containment,
-    fleet,
     following,
+    heartbeats,
     lapses,
     store_eras,
 )
@@ -91,7 +91,7 @@
                 self._start_call(world, cache, now_ns)
             if overdue:
                 # The others' watches may have been waiting all the time.
-                fleet.send_heartbeats(world, now_ns)
+                heartbeats.send_regular(world, now_ns)
             due_ns = confirmation.next_check_ns(world, now_ns)
             world.timers.set(TimerKind.STORE_CONFIRMATION, key, due_ns)
 
--- a/tests/unit/forwarding/test_fleet.py
+++ b/tests/unit/forwarding/test_fleet.py
@@ -11,8 +11,11 @@
     pass_route,
 )
 
-from snipesaddle._internal.systems.forwarding import activity, connections
-from snipesaddle._internal.systems.forwarding.fleet import heartbeat_targets
+from snipesaddle._internal.systems.forwarding import (
+    activity,
+    connections,
+    heartbeats,
+)
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.fleet import NodePhase
 from snipesaddle._internal.tables.forwarding.messages import NodeBeat
@@ -171,7 +174,7 @@
     return ticks
 
 
-def heartbeats(ticks: ForwardTicks) -> dict[str, NodeBeat]:
+def regular_beats(ticks: ForwardTicks) -> dict[str, NodeBeat]:
     ticks.taken(commands.SendToNode)
     ticks.advance(1_000, 100)
     return {
@@ -188,7 +191,7 @@
         if activity.is_active(ticks.world) != is_active:
             ids = fleet.active_node_ids ^ {ticks.world.this_node.node_id}
             fleet.active_node_ids = frozenset(ids)
-        targets = heartbeat_targets(ticks.world)
+        targets = heartbeats.targets(ticks.world)
         zones = {
             node.record.zone
             for node in targets
@@ -200,7 +203,7 @@
 
 def test_an_idle_node_learns_of_the_active_nodes_of_other_zones() -> None:
     ticks = large_fleet()
-    beat = next(iter(heartbeats(ticks).values()))
+    beat = next(iter(regular_beats(ticks).values()))
     known = ticks.world.fleet.nodes["n1"].record
     later = msgspec.structs.replace(
         known, sequence=known.sequence + 1, phase=NodePhase.LEAVING
