Tell nodes of those that they do not know or hear

Cause: nodes learnt of each other from the store only. One that the store turns away until its record ends is found by none that starts, and cannot read of these; both took themselves for the owner of a quota and heard all of the fleet that they knew. The other half: groups of nodes that overlap each hear most of the fleet, and the parts that owners grant add up to the whole only for groups that are separate.

Change: heartbeats hold a digest of the active nodes and the ids of nodes that are expected in vain; who knows or hears more sends the records. A node that starts is told at once of those that the store may not name.

Why it works: nodes that are connected in some way agree on the active nodes, and choose one owner, so groups with owners of their own are separate.

--- a/src/snipesaddle/_internal/systems/forwarding/activity.py
+++ b/src/snipesaddle/_internal/systems/forwarding/activity.py
@@ -7,6 +7,8 @@
 import math
 from collections.abc import Sequence
 
+import xxhash
+
 from snipesaddle._internal.systems.forwarding import (
     active_choice,
     capacity,
@@ -60,7 +62,7 @@
     if world.fleet.is_unequal:
         if node.silent_since_ns:
             return now_ns - node.silent_since_ns > _SILENCE_MEMORY_NS
-        expected_ns = _heartbeats_expected_ns(world, node)
+        expected_ns = heartbeats_expected_ns(world, node)
         if expected_ns is None or now_ns - expected_ns <= suspect_ns:
             return True
     if node.last_heard_ns:
@@ -69,7 +71,7 @@
     return node.active_since_ns == 0 or now_ns - since_ns <= suspect_ns
 
 
-def _heartbeats_expected_ns(world: ForwardWorld, node: PeerNode) -> int | None:
+def heartbeats_expected_ns(world: ForwardWorld, node: PeerNode) -> int | None:
     """Returns since when a node should send heartbeats to this one, if up.
 
     None if it sends none.
@@ -224,6 +226,7 @@
         elif not node.active_since_ns:
             node.active_since_ns = now_ns
     fleet.active_node_ids = active
+    fleet.active_view = _digest(active)
     world.log(
         "active_nodes",
         nodes=sorted(active),
@@ -233,6 +236,10 @@
     )
 
 
+def _digest(node_ids: frozenset[str]) -> int:
+    return xxhash.xxh3_64_intdigest("\0".join(sorted(node_ids)).encode())
+
+
 def _held_nodes(
     world: ForwardWorld,
     candidates: Sequence[Candidate],
--- a/src/snipesaddle/_internal/systems/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet.py
@@ -17,6 +17,7 @@
     evacuations,
     fleet_shares,
     heartbeats,
+    membership_sync,
     peer_sync,
     presence,
     retries,
@@ -38,6 +39,8 @@
 from snipesaddle._internal.tables.timers import TimerKind
 
 _HEARTBEAT = "beat"
+# Where a node was learnt of, in the log; otherwise the id of another node.
+_STORE_SOURCE = "store"
 _REMOVE_AFTER_NS = 30_000 * NS_PER_MS
 # A run that is older is the one that was replaced.
 _MAX_RENEWAL_AGE_NS = 30_000 * NS_PER_MS
@@ -121,13 +124,14 @@
     ) -> None:
         if isinstance(item, NodeRecord):
             if item.node_id != world.this_node.node_id:
-                self._upsert(world, item, now_ns).registered = True
+                node = self._upsert(world, item, _STORE_SOURCE, now_ns)
+                node.registered = True
             else:
                 self._on_own_record(world, item, now_ns)
             return
-        node = world.fleet.nodes.get(key)
-        if node is not None:
-            node.registered = False
+        removed = world.fleet.nodes.get(key)
+        if removed is not None:
+            removed.registered = False
 
     def _on_own_record(
         self, world: ForwardWorld, record: NodeRecord, now_ns: int
@@ -143,14 +147,19 @@
             fleet.active_is_stale = True
 
     def _upsert(
-        self, world: ForwardWorld, record: NodeRecord, now_ns: int
+        self, world: ForwardWorld, record: NodeRecord, source: str, now_ns: int
     ) -> PeerNode:
         node = world.fleet.nodes.get(record.node_id)
         if node is None:
             world.fleet.active_is_stale = True
             node = PeerNode(record, added_ns=now_ns)
             world.fleet.nodes[record.node_id] = node
-            world.log("node_added", peer=record.node_id, zone=record.zone)
+            world.log(
+                "node_added",
+                peer=record.node_id,
+                zone=record.zone,
+                source=source,
+            )
             return node
         old = node.record
         if not _is_newer(record, old):
@@ -171,35 +180,49 @@
     def _on_beat(
         self, world: ForwardWorld, beat: NodeBeat, now_ns: int
     ) -> None:
-        self._on_record(world, beat.node, now_ns)
+        source = beat.node.node_id
+        self._on_record(world, beat.node, source, now_ns)
         fleet = world.fleet
         if beat.node.fleet_size > fleet.reported_size:
             fleet.reported_size = beat.node.fleet_size
             fleet.active_is_stale = True
         for record in beat.others:
-            if record.node_id == world.this_node.node_id:
-                _renew_incarnation(world, record, now_ns)
-                continue
-            known = fleet.nodes.get(record.node_id)
-            # Several nodes pass on the same record; only a newer one shows that
-            # its node is up.
-            if known is None or _is_newer(record, known.record):
-                self._on_record(world, record, now_ns)
+            self._on_other(world, record, source, now_ns)
         confirmation.record_peer(world, beat.node, now_ns)
-        node = fleet.nodes[beat.node.node_id]
+        node = fleet.nodes[source]
+        if beat.node.incarnation == node.record.incarnation:
+            node.heard_directly_ns = now_ns
+        missing = membership_sync.missing_records(world, node, beat, now_ns)
         if beat.node.incarnation < node.record.incarnation:
             # Its clock has been set back since, or it has been replaced.
-            heartbeats.tell(
-                world, beat.node.peer_address, now_ns, (node.record,)
-            )
+            missing += (node.record,)
+        if missing:
+            world.counters.membership_syncs += 1
+            heartbeats.tell(world, beat.node.peer_address, now_ns, missing)
         if beat.node.shares is ShareState.NONE:
             fleet.unanswered_nodes.append(node)
         peer_sync.sync_if_behind(world, node, beat.node, now_ns)
 
+    def _on_other(
+        self, world: ForwardWorld, record: NodeRecord, source: str, now_ns: int
+    ) -> None:
+        """Processes the record of a node that another one has passed on."""
+        if record.node_id == world.this_node.node_id:
+            _renew_incarnation(world, record, now_ns)
+            return
+        known = world.fleet.nodes.get(record.node_id)
+        # Several nodes pass on the same record; only a newer one shows that its
+        # node is up.
+        if known is None or _is_newer(record, known.record):
+            self._on_record(world, record, source, now_ns)
+        if known is None:
+            # It may not know of this node either.
+            heartbeats.tell(world, record.peer_address, now_ns)
+
     def _on_record(
-        self, world: ForwardWorld, record: NodeRecord, now_ns: int
+        self, world: ForwardWorld, record: NodeRecord, source: str, now_ns: int
     ) -> None:
-        node = self._upsert(world, record, now_ns)
+        node = self._upsert(world, record, source, now_ns)
         if not activity.is_live(world, node, now_ns):
             world.fleet.active_is_stale = True
         if node.record.incarnation == record.incarnation:
--- a/src/snipesaddle/_internal/systems/forwarding/fleet_reach.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_reach.py
@@ -69,6 +69,11 @@
     return heard / sum(zone.size for zone in zones.values())
 
 
+def is_heard(world: ForwardWorld, node: PeerNode, now_ns: int) -> bool:
+    """Returns whether a node has been heard lately, directly or not."""
+    return _heard_within(node, now_ns, _max_age_ns(world))
+
+
 def _max_age_ns(world: ForwardWorld) -> int:
     return int(activity.heartbeat_interval_ns(world) * _HEARD_BEATS)
 
--- a/src/snipesaddle/_internal/systems/forwarding/handover.py
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -21,6 +21,7 @@
     connections,
     fleet_shares,
     heartbeats,
+    membership_sync,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.fleet import (
@@ -92,7 +93,7 @@
     """Returns whether another node has told of the size of the fleet."""
     announced_ns = world.fleet.announced_ns
     return any(
-        node.last_heard_ns >= announced_ns
+        node.heard_directly_ns >= announced_ns
         for node in world.fleet.nodes.values()
     )
 
@@ -100,7 +101,7 @@
 def _blocks(world: ForwardWorld, node: PeerNode, now_ns: int) -> bool:
     """Returns whether a node may still use a part of this one's share."""
     announced_ns = world.fleet.announced_ns
-    if node.last_heard_ns < announced_ns:
+    if node.heard_directly_ns < announced_ns:
         return now_ns - announced_ns < _MAX_ANSWER_NS
     return node.record.shares is ShareState.EXCEEDED and activity.is_live(
         world, node, now_ns
@@ -128,5 +129,6 @@
     for node in world.fleet.unanswered_nodes:
         if node.answered_incarnation != node.record.incarnation:
             node.answered_incarnation = node.record.incarnation
-            heartbeats.tell(world, node.record.peer_address, now_ns)
+            others = membership_sync.records_not_in_store(world, now_ns)
+            heartbeats.tell(world, node.record.peer_address, now_ns, others)
     world.fleet.unanswered_nodes.clear()
--- a/src/snipesaddle/_internal/systems/forwarding/heartbeats.py
+++ b/src/snipesaddle/_internal/systems/forwarding/heartbeats.py
@@ -1,6 +1,6 @@
 """Heartbeats: tells other nodes of this one, at regular times and at once."""
 
-from snipesaddle._internal.systems.forwarding import activity
+from snipesaddle._internal.systems.forwarding import activity, membership_sync
 from snipesaddle._internal.systems.forwarding.presence import this_node_record
 from snipesaddle._internal.tables.forwarding.commands import SendToNode
 from snipesaddle._internal.tables.forwarding.fleet import NodeRecord, PeerNode
@@ -45,8 +45,11 @@
 def send_regular(world: ForwardWorld, now_ns: int) -> None:
     """Sends a heartbeat to each node that gets them regularly."""
     record = this_node_record(world, now_ns)
-    short = NodeBeat(record)
-    full = NodeBeat(record, _other_active_records(world, now_ns))
+    view = world.fleet.active_view
+    unheard = membership_sync.unheard_ids(world, now_ns)
+    others = _other_active_records(world, now_ns)
+    short = NodeBeat(record, (), view, unheard)
+    full = NodeBeat(record, others, view, unheard)
     for node in targets(world):
         is_idle = node.record.node_id not in world.fleet.active_node_ids
         heartbeat = full if is_idle else short
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -10,6 +10,7 @@
 
 from snipesaddle._internal.systems.forwarding import (
     activity,
+    membership_sync,
     node_weights,
     placement,
     retries,
@@ -157,7 +158,9 @@
 ) -> dict[str, list[PeerNode]]:
     by_zone: dict[str, list[PeerNode]] = {}
     for node in activity.live_active_peers(world, now_ns):
-        if now_ns >= node.no_relays_until_ns:
+        # The reply of a node that this one does not hear would be lost, too.
+        is_unheard = membership_sync.is_unheard(world, node, now_ns)
+        if now_ns >= node.no_relays_until_ns and not is_unheard:
             by_zone.setdefault(node.record.zone, []).append(node)
     return by_zone
 
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -95,7 +95,11 @@
     Attributes:
       registered: the store holds its record.
       added_ns: when its current incarnation was first seen.
-      last_heard_ns: when its last heartbeat arrived; 0 for never.
+      last_heard_ns: when its last heartbeat arrived, or a newer record of it
+        that another node has passed on; 0 for never.
+      heard_directly_ns: when its last heartbeat arrived; 0 for never.
+      view_differs_since_ns: since when its heartbeats have shown that it knows
+        other active nodes than this one; 0 while it does not.
       last_sync_ns: when it was last sent newer data.
       lag_revision: the endpoints revision that it had not reached when last
         checked; 0 if it was up to date.
@@ -114,6 +118,8 @@
     registered: bool = False
     added_ns: int = 0
     last_heard_ns: int = 0
+    heard_directly_ns: int = 0
+    view_differs_since_ns: int = 0
     last_sync_ns: int = 0
     lag_revision: int = 0
     lag_since_ns: int = 0
@@ -180,6 +186,7 @@
     Attributes:
       nodes: the other nodes, by id.
       active_node_ids: the ids of the nodes that clients are sent to.
+      active_view: a digest of these ids, by which nodes compare them.
       active_is_stale: a node was added, changed its phase or was heard from
         again, so the active nodes have to be chosen again.
       surplus_since_ns: since when each active node is not needed for the load.
@@ -226,6 +233,7 @@
 
     nodes: dict[str, PeerNode] = field(default_factory=dict)
     active_node_ids: frozenset[str] = frozenset()
+    active_view: int = 0
     active_is_stale: bool = True
     surplus_since_ns: dict[str, int] = field(default_factory=dict)
     is_unequal: bool = False
--- a/src/snipesaddle/_internal/tables/forwarding/messages.py
+++ b/src/snipesaddle/_internal/tables/forwarding/messages.py
@@ -16,17 +16,26 @@
     NEVER_RECOVERED,
 )
 
+# The view of a node of a version that does not tell it.
+UNKNOWN_VIEW = 0
+
 
 class NodeBeat(msgspec.Struct, frozen=True, array_like=True):
     """A heartbeat with the current record of its sender.
 
     Attributes:
-      others: the newest records of the active nodes of other zones, which send
-        no heartbeats of their own to the idle nodes of this zone.
+      others: the newest records of nodes that the receiver may not hear: the
+        active nodes of other zones, which send no heartbeats of their own to
+        the idle nodes of this zone; and those that it has missed.
+      view: a digest of the active nodes as the sender knows them; UNKNOWN_VIEW
+        outside of regular heartbeats.
+      unheard: the ids of the nodes whose heartbeats the sender expects in vain.
     """
 
     node: NodeRecord
     others: tuple[NodeRecord, ...] = ()
+    view: int = UNKNOWN_VIEW
+    unheard: tuple[str, ...] = ()
 
 
 class ConfigShare(msgspec.Struct, frozen=True, array_like=True):
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -94,6 +94,7 @@
     relays: int = 0
     relays_failed: int = 0
     replies_to_earlier_runs: int = 0
+    membership_syncs: int = 0
     endpoint_refusals: int = 0
     endpoint_failures: int = 0
     leaving_answers: int = 0
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -72,6 +72,7 @@
       ignored: nodes that the store does not answer.
       max_hold_ms: the longest time for which messages between nodes are held.
       apart: nodes that reach each other, but no other ones.
+      cut_links: pairs of nodes that do not reach each other.
       rate_limits: the requests a second that endpoints name as their limit, by
         endpoint id.
     """
@@ -87,12 +88,16 @@
     ignored: frozenset[str] = frozenset()
     max_hold_ms: float = 0.0
     apart: frozenset[str] = frozenset()
+    cut_links: frozenset[frozenset[str]] = frozenset()
     rate_limits: dict[str, float] = field(default_factory=dict)
 
     def separates(self, name: str, other: str) -> bool:
         """Returns whether two nodes do not reach each other."""
-        is_cut = bool(self.cut_off & {name, other})
-        return is_cut or (name in self.apart) != (other in self.apart)
+        if self.cut_off & {name, other}:
+            return True
+        if frozenset({name, other}) in self.cut_links:
+            return True
+        return (name in self.apart) != (other in self.apart)
 
     def fails_store_calls(self, name: str) -> bool:
         """Returns whether a node's calls to the store fail."""
--- a/tests/standins/simulated_store.py
+++ b/tests/standins/simulated_store.py
@@ -113,6 +113,13 @@
             return events.PresenceWritten(lease_id, self.era)
         return events.PresenceFailed(True, "status 404", self.era)
 
+    def expire(self, node_id: str) -> None:
+        """Ends the lease of a node, which removes its record."""
+        for lease_id, owner in list(self.leases.items()):
+            if owner == node_id:
+                del self.leases[lease_id]
+        self.put(Range.NODES, node_id, None)
+
     def fall_silent(self, ms: float, *, keeps_watches: bool = False) -> None:
         """Answers nothing for a time; calls that are sent in it are lost.
 
--- /dev/null
+++ b/tests/unit/forwarding/test_membership_sync.py
@@ -0,0 +1,158 @@
+"""Nodes that do not learn of each other, or that do not hear each other.
+
+Each of two nodes that did not know of the other took itself for the owner of a
+quota, although all other nodes knew both.
+"""
+
+import itertools
+import os
+import random
+
+import pytest
+from standins.forwarding import pass_route
+from standins.quota_rule import quota_overrun
+from standins.simulated_fleet import Faults, SimulatedFleet, started_fleet
+
+from snipesaddle._internal.tables.forwarding.tenants import Tenant, TenantIndex
+
+# More seeds by hand: FLEET_SEEDS=50.
+RANDOM_SEEDS = range(1, 1 + int(os.environ.get("FLEET_SEEDS", "3")))
+RANDOM_STEPS = 10
+CONNECTIONS = 2_000
+NODES = ("e1", "e2", "e3", "e4")
+ADDED = ("e5", "e6")
+ZONES = {name: "ab"[n % 2] for n, name in enumerate(NODES + ADDED)}
+# Many tenants, so that each pair of nodes owns one of them one after the other.
+TENANTS = tuple(Tenant(f"t{n}", rate_per_s=20.0, burst=5.0) for n in range(8))
+# From the last renewal of a lease to its end, less the time to the first
+# renewal that fails.
+LAPSE_MS = 6_300
+
+
+def quota_fleet(seed: int) -> SimulatedFleet:
+    index = TenantIndex((t, [t.name.encode()]) for t in TENANTS)
+    route = pass_route(timeout_ms=2_000)
+    return started_fleet(route, ZONES, NODES, CONNECTIONS, seed, index)
+
+
+def load(fleet: SimulatedFleet, ms: float, rng: random.Random) -> None:
+    """Sends twice what each tenant may, to all nodes that are ready."""
+    end_ns = fleet.now_ns + int(ms * 1_000_000)
+    per_s = 2 * sum(tenant.rate_per_s for tenant in TENANTS)
+    while fleet.now_ns < end_ns:
+        key = rng.choice(TENANTS).name.encode()
+        fleet.ask(b"/file/1", 500, api_keys=(key,))
+        fleet.advance(rng.expovariate(per_s) * 1_000)
+
+
+def worst_overrun(fleet: SimulatedFleet) -> float:
+    return max(quota_overrun(fleet.ran[t.name].values(), t) for t in TENANTS)
+
+
+def known_ids(fleet: SimulatedFleet, name: str) -> set[str]:
+    return {name, *fleet.running[name].world.fleet.nodes}
+
+
+# A node that is turned away until its record has ended is found by none that
+# starts, and cannot read of those itself.
+@pytest.mark.parametrize(
+    ("turned_away", "added"), list(itertools.product(NODES, ADDED))
+)
+def test_a_node_without_the_store_and_an_added_one_share_a_quota(
+    turned_away: str, added: str
+) -> None:
+    fleet = quota_fleet(1)
+    rng = random.Random(1)
+    fleet.faults.without_store = frozenset({turned_away})
+    load(fleet, LAPSE_MS, rng)
+    fleet.store.expire(turned_away)
+    fleet.advance(50)
+    fleet.start(added)
+    fleet.advance(100)
+    assert turned_away in known_ids(fleet, added)
+    assert added in known_ids(fleet, turned_away)
+    load(fleet, 5_000, rng)
+    assert worst_overrun(fleet) <= 0
+    fleet.faults = Faults()
+    load(fleet, 4_000, rng)
+    assert worst_overrun(fleet) <= 0
+
+
+# No node that knows both is asked at the start, as the answers are lost.
+def test_nodes_learn_of_each_other_when_the_first_messages_are_lost() -> None:
+    fleet = quota_fleet(2)
+    fleet.faults.without_store = frozenset({"e1"})
+    fleet.advance(LAPSE_MS)
+    fleet.store.expire("e1")
+    fleet.faults.message_loss_ratio = 1.0
+    fleet.start("e5")
+    fleet.advance(400)
+    assert "e1" not in known_ids(fleet, "e5")
+    fleet.faults.message_loss_ratio = 0.0
+    fleet.advance(1_700)
+    assert "e1" in known_ids(fleet, "e5")
+    assert "e5" in known_ids(fleet, "e1")
+
+
+# Groups that overlap each heard most of the fleet, and granted most of a limit.
+@pytest.mark.parametrize(
+    "links",
+    [
+        [("e1", "e2")],
+        [("e1", "e3"), ("e2", "e4")],
+        [("e1", "e3"), ("e1", "e4"), ("e2", "e4")],
+    ],
+    ids=["pair", "two pairs", "chain"],
+)
+def test_nodes_that_do_not_all_hear_each_other_keep_to_a_quota(
+    links: list[tuple[str, str]],
+) -> None:
+    for seed in (1, 2):
+        fleet = quota_fleet(seed)
+        rng = random.Random(seed)
+        load(fleet, 1_000, rng)
+        fleet.faults.cut_links = frozenset(map(frozenset, links))
+        load(fleet, 8_000, rng)
+        fleet.faults = Faults()
+        load(fleet, 4_000, rng)
+        assert worst_overrun(fleet) <= 0, seed
+
+
+def disturb(fleet: SimulatedFleet, rng: random.Random) -> str:
+    """Applies a random failure of membership, or ends all; names it."""
+    name = rng.choice(NODES + ADDED)
+    match rng.randrange(7):
+        case 0:
+            fleet.faults.without_store |= {name}
+            return f"{name} without store"
+        case 1 if name in fleet.faults.without_store:
+            fleet.store.expire(name)
+            return f"{name} expires"
+        case 2 if name not in fleet.running:
+            fleet.start(name)
+            return f"{name} starts"
+        case 3:
+            fleet.restart(name, rng.uniform(50, 1_500))
+            return f"{name} restarts"
+        case 4:
+            pairs = itertools.combinations(NODES + ADDED, 2)
+            cut = rng.sample(sorted(pairs), rng.randint(1, 4))
+            fleet.faults.cut_links = frozenset(map(frozenset, cut))
+            return f"cut {cut}"
+        case 5:
+            fleet.kill(name)
+            return f"{name} is killed"
+        case _:
+            fleet.faults = Faults()
+            return "calm"
+
+
+@pytest.mark.parametrize("seed", RANDOM_SEEDS)
+def test_no_order_of_failures_makes_two_owners(seed: int) -> None:
+    rng = random.Random(seed)
+    fleet = quota_fleet(seed)
+    steps = []
+    for _ in range(RANDOM_STEPS):
+        steps.append(disturb(fleet, rng))
+        load(fleet, rng.uniform(200, 4_000), rng)
+    assert worst_overrun(fleet) <= 0, steps
