Decide in one place whether a request may have run

Cause: a part counted as a possible run when it was sent to an endpoint, when a hedge was relayed and when a relay had failed, but not while its relay was in progress or after the relay had answered. A time limit that ends before a relay is overdue found nothing that may have run.

Evidence: request_ended of such requests said "not_run" with no cause, no endpoint tried and no hedge, so the node knew of no send. The line now has the number of parts that other nodes may have run.

Change: possible_runs alone counts and decides. A part counts from the moment at which it is sent, to an endpoint or to a node, and ceases to count only when the endpoint states that it has not run it, or the relay has not left this node. Status and token follow from this count.

Why it works: the count no longer depends on the order of the reply and the end of the request.

--- a/src/snipesaddle/_internal/systems/forwarding/completion.py
+++ b/src/snipesaddle/_internal/systems/forwarding/completion.py
@@ -10,6 +10,7 @@
     containment,
     deadlines,
     departures,
+    possible_runs,
     quota_charges,
     rate_limits,
     wakeups,
@@ -293,7 +294,7 @@
     """
     causes = sorted({part.cause.value for part in request.parts})
     retry_ms = 0
-    if all(part.possible_runs == 0 for part in request.parts):
+    if not possible_runs.may_have_run(request):
         error_kind = ErrorKind.NOT_RUN
         retry_ms = _RETRY_AFTER_MS
     return SendError(
@@ -366,6 +367,7 @@
             if part.answer is None
         },
         hedged=sum(part.hedged for part in request.parts),
+        relayed=sum(part.relayed_runs > 0 for part in request.parts),
         tried=[part.tried for part in request.parts if part.answer is None],
     )
 
--- a/src/snipesaddle/_internal/systems/forwarding/outcomes.py
+++ b/src/snipesaddle/_internal/systems/forwarding/outcomes.py
@@ -6,6 +6,7 @@
     attempts,
     containment,
     placement,
+    possible_runs,
 )
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
 from snipesaddle._internal.tables.forwarding.requests import (
@@ -44,8 +45,7 @@
             return
         request, part = found
         if answer.not_run:
-            part.possible_runs -= 1
-            part.run_endpoint_ids.remove(attempt.endpoint_id)
+            possible_runs.count_rejected(part, attempt.endpoint_id)
             world.log(
                 "attempt_rejected",
                 request=request.arrived.client_request_id,
--- a/src/snipesaddle/_internal/systems/forwarding/placement.py
+++ b/src/snipesaddle/_internal/systems/forwarding/placement.py
@@ -5,6 +5,7 @@
     containment,
     load_balancing,
     outstanding_work,
+    possible_runs,
     rate_limits,
     retries,
     work_estimates,
@@ -219,9 +220,7 @@
     )
     if attempt.charge is not None:
         retries.count_sent(world, attempt.service, attempt.charge, now_ns)
-    part.possible_runs += 1
-    part.run_endpoint_ids.append(endpoint.endpoint_id)
-    part.send_count += 1
+    possible_runs.count_sent(part, endpoint.endpoint_id)
     load_balancing.record_sent(endpoint, now_ns)
     deadline_ns = request.deadline_ns - _REPLY_MARGIN_MS * NS_PER_MS
     world.emit(
--- a/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relay_replies.py
@@ -12,6 +12,7 @@
     departures,
     earlier_runs,
     placement,
+    possible_runs,
     rate_limits,
     relaying,
     retries,
@@ -67,15 +68,17 @@
         node = world.fleet.nodes.get(relay.node_id)
         if node is not None:
             node.no_relays_until_ns = now_ns + _UNCONNECTED_BACKOFF_NS
+        max_endpoints = relay.max_endpoints(request.route)
+        for index in relay.part_indexes:
+            part = request.parts[index]
+            possible_runs.discount_relayed(part, max_endpoints)
         if relay.is_hedge:
             self._hedge_locally(world, request, relay, now_ns)
         else:
             for index in relay.part_indexes:
                 part = request.parts[index]
                 retries.count_request(world, part.service, now_ns)
-        _end_failed_relay(
-            world, request, relay, "not connected", now_ns, may_have_run=False
-        )
+        _end_failed_relay(world, request, relay, "not connected", now_ns)
 
     def _hedge_locally(
         self,
@@ -86,11 +89,7 @@
     ) -> None:
         """Schedules the hedges of a relay to be sent by this node itself."""
         for index in relay.part_indexes:
-            part = request.parts[index]
-            part.possible_runs -= 1
-            part.relayed_runs -= 1
-            part.send_count -= 1
-            part.hedge_at_ns = now_ns
+            request.parts[index].hedge_at_ns = now_ns
         wakeups.schedule_wakeup(world, request, now_ns)
 
     def _on_reply(
@@ -133,8 +132,8 @@
         self, world: ForwardWorld, request: Request, index: int, now_ns: int
     ) -> None:
         part = request.parts[index]
-        _count_possible_run(world, request, part)
-        if part.state is not PartState.RELAYED:
+        if not placement.may_use_another(world, request, part):
+            placement.mark_missing(world, request, part, MissingCause.RELAY)
             return
         # A reply this early means that the other node has given the part up;
         # a later one may only mean that its time ran out.
@@ -158,14 +157,7 @@
             node.no_relays_until_ns = now_ns + _NO_REPLY_BACKOFF_NS
         cancelled = RelayCancel(relay_id, world.this_node.peer_address)
         world.emit(SendToNode(relay.peer_address, cancelled))
-        _end_failed_relay(
-            world,
-            request,
-            relay,
-            "no reply in time",
-            now_ns,
-            may_have_run=True,
-        )
+        _end_failed_relay(world, request, relay, "no reply in time", now_ns)
 
 
 def _end_failed_relay(
@@ -174,8 +166,6 @@
     relay: Relay,
     why: str,
     now_ns: int,
-    *,
-    may_have_run: bool,
 ) -> None:
     world.relays.pop(relay.relay_id, None)
     request.relays.remove(relay.relay_id)
@@ -192,9 +182,10 @@
         if relay.is_hedge:
             _end_failed_hedge(world, request, part, now_ns)
         elif part.state is PartState.RELAYED:
-            if may_have_run:
-                _count_possible_run(world, request, part)
-            _place_locally(world, request, index)
+            if placement.may_use_another(world, request, part):
+                _place_locally(world, request, index)
+            else:
+                placement.mark_missing(world, request, part, MissingCause.RELAY)
 
 
 def _place_locally(world: ForwardWorld, request: Request, index: int) -> None:
@@ -219,17 +210,6 @@
     world.pending_parts.append((request.request_id, request.parts.index(part)))
 
 
-def _count_possible_run(
-    world: ForwardWorld, request: Request, part: Part
-) -> None:
-    part.send_count += 1
-    part.possible_runs += 1
-    # The other node may have sent the part to as many endpoints as permitted.
-    part.relayed_runs += request.route.max_attempts
-    if not placement.may_use_another(world, request, part):
-        placement.mark_missing(world, request, part, MissingCause.RELAY)
-
-
 def _accept_answer(
     world: ForwardWorld,
     request: Request,
--- a/src/snipesaddle/_internal/systems/forwarding/relaying.py
+++ b/src/snipesaddle/_internal/systems/forwarding/relaying.py
@@ -13,6 +13,7 @@
     membership_sync,
     node_weights,
     placement,
+    possible_runs,
     retries,
 )
 from snipesaddle._internal.systems.forwarding.load_balancing import (
@@ -51,9 +52,9 @@
     by_zone = _remote_parts(world, request, chooser, now_ns)
     groups = _group_by_node(world, by_zone, _MIN_RELAYED_PARTS, now_ns)
     for node, indexes in groups:
-        _send_relay(world, request, node, indexes, now_ns)
         for index in indexes:
             request.parts[index].state = PartState.RELAYED
+        _send_relay(world, request, node, indexes, now_ns)
 
 
 def relay_hedges(
@@ -186,9 +187,6 @@
         part = request.parts[index]
         part.hedge_relay_id = relay.relay_id
         part.hedged = True
-        part.possible_runs += 1
-        part.relayed_runs += 1
-        part.send_count += 1
         world.counters.hedges += 1
 
 
@@ -209,6 +207,9 @@
         part_indexes=indexes,
         is_hedge=is_hedge,
     )
+    for index in indexes:
+        max_endpoints = relay.max_endpoints(request.route)
+        possible_runs.count_relayed(request.parts[index], max_endpoints)
     world.relays[relay.relay_id] = relay
     request.relays.append(relay.relay_id)
     world.counters.relays += 1
--- a/src/snipesaddle/_internal/tables/forwarding/requests.py
+++ b/src/snipesaddle/_internal/tables/forwarding/requests.py
@@ -169,6 +169,10 @@
     part_indexes: tuple[int, ...]
     is_hedge: bool = False
 
+    def max_endpoints(self, route: Route) -> int:
+        """Returns to how many endpoints the other node may send each part."""
+        return 1 if self.is_hedge else route.max_attempts
+
 
 @dataclass(slots=True)
 class Request:
