Let relays be answered within the time limit of the client

Where a client's time limit ends before the target latency, the asking node told the other one to reply after the end of that time, so nothing that was relayed reached the client. And the gathering node, which replies at the soft deadline only, set its next wakeup to 1 ns later from the time limit until then: it ticked without a pause.

Change: the soft deadline of a request is its deadline at the latest, at the asking and at the gathering node.

--- a/src/snipesaddle/_internal/systems/forwarding/arrivals.py
+++ b/src/snipesaddle/_internal/systems/forwarding/arrivals.py
@@ -138,16 +138,18 @@
         sent_ns = arrived_ns - deadlines.unread_wait_ns(
             world.process.unread_since_ns, arrived_ns
         )
+        deadline_ns = sent_ns + limit_ms * NS_PER_MS
+        soft_deadline_ns = deadlines.soft_deadline_ns(
+            route, sent_ns, client_spent_ms
+        )
         return Request(
             request_id=world.next_id(),
             arrived=arrived,
             route=route,
             config_version=world.active_config.version,
             arrived_ns=arrived_ns,
-            soft_deadline_ns=deadlines.soft_deadline_ns(
-                route, sent_ns, client_spent_ms
-            ),
-            deadline_ns=sent_ns + limit_ms * NS_PER_MS,
+            soft_deadline_ns=min(soft_deadline_ns, deadline_ns),
+            deadline_ns=deadline_ns,
             parts=[Part(service) for service in services],
             open_parts=len(services),
             total_parts=len(services),
--- a/src/snipesaddle/_internal/systems/forwarding/gathering.py
+++ b/src/snipesaddle/_internal/systems/forwarding/gathering.py
@@ -86,15 +86,16 @@
     sent_ns = now_ns - deadlines.unread_wait_ns(
         world.process.unread_since_ns, now_ns
     )
+    deadline_ns = sent_ns + max(1, ask.time_left_ms) * NS_PER_MS
+    reply_due_ns = sent_ns + max(1, ask.soft_deadline_left_ms) * NS_PER_MS
     return Request(
         request_id=world.next_id(),
         arrived=arrived,
         route=route,
         config_version=world.active_config.version,
         arrived_ns=now_ns,
-        soft_deadline_ns=sent_ns
-        + max(1, ask.soft_deadline_left_ms) * NS_PER_MS,
-        deadline_ns=sent_ns + max(1, ask.time_left_ms) * NS_PER_MS,
+        soft_deadline_ns=min(reply_due_ns, deadline_ns),
+        deadline_ns=deadline_ns,
         parts=[Part(service) for service in ask.services],
         open_parts=len(ask.services),
         total_parts=ask.total_parts,
--- a/tests/unit/forwarding/test_time_left.py
+++ b/tests/unit/forwarding/test_time_left.py
@@ -5,12 +5,14 @@
 import time
 from typing import Any
 
+import msgspec
 import pytest
 import uvloop
 from standins.forwarding import (
     NS_PER_MS,
     ForwardTicks,
     entry,
+    merge_route,
     pass_route,
     relaying_node,
 )
@@ -22,7 +24,10 @@
 from snipesaddle._internal.daemon.forward_loop import ForwardLoop
 from snipesaddle._internal.systems.forwarding import deadlines
 from snipesaddle._internal.tables.forwarding import commands, events
-from snipesaddle._internal.tables.forwarding.messages import RelayAsk
+from snipesaddle._internal.tables.forwarding.messages import (
+    RelayAsk,
+    RelayReply,
+)
 
 BUSY_S = 0.05
 
@@ -49,6 +54,39 @@
     assert attempt.time_left_at_ms(later_ns * 9) == 1
 
 
+# A client that waits for less than the target latency got nothing of what was
+# relayed, since the reply was due after its time limit.
+def test_parts_are_due_within_the_time_limit_of_the_client() -> None:
+    ticks = relaying_node()
+    ticks.ask(b"/sweep/x", time_limit_ms=60)
+    (ask,) = ticks.sent_to_nodes(RelayAsk)
+    assert 0 < ask.soft_deadline_left_ms <= ask.time_left_ms < 60
+
+
+# After the time limit, the node that gathers woke up without end until the
+# reply was due.
+def test_a_relay_whose_time_ends_first_is_answered_then() -> None:
+    asking = relaying_node()
+    asking.ask(b"/sweep/x")
+    (ask,) = asking.sent_to_nodes(RelayAsk)
+    entries = [entry(f"s{number}", f"s{number}") for number in range(4)]
+    ticks = ForwardTicks([merge_route(4)], entries)
+    ticks.tick(msgspec.structs.replace(ask, time_left_ms=40))
+    ticks.open_all()
+    first, *_ = ticks.taken(commands.SendAttempt)
+    ticks.answer(first)
+    end_ns = ticks.now_ns + 60 * NS_PER_MS
+    count = 0
+    while (due_ns := ticks.world.timers.next_due_ns() or end_ns) < end_ns:
+        ticks.now_ms = max(ticks.now_ms, due_ns / NS_PER_MS)
+        ticks.tick()
+        count += 1
+        assert count < 20
+    (reply,) = ticks.sent_to_nodes(RelayReply)
+    assert sum(map(bool, reply.signatures)) == 1
+    assert not ticks.world.requests
+
+
 def test_a_relay_says_what_is_left_when_it_is_sent() -> None:
     ticks = relaying_node()
     ticks.ask(b"/sweep/x")
