Send again what a node tells at its start

A message to a node without a connection opens one and is lost, so no node heard the first announcement of one that starts. It waited for answers until the time for them was over, took its share of the connections without, and learned of nodes that the store does not name only with the next heartbeats.

Change: the resending of quota messages serves all messages that are not repeated anyway (resends). A node that starts and knows fewer nodes than the one that answers is told of all that this one hears, also where the store's news of a lost record has not arrived yet.

Test: test_what_a_node_tells_at_its_start... failed before, as the node that starts had no share after 60 ms.

--- a/src/snipesaddle/_internal/daemon/forward_dispatcher.py
+++ b/src/snipesaddle/_internal/daemon/forward_dispatcher.py
@@ -18,8 +18,6 @@
 from snipesaddle._internal.ports.peer_transport import PeerTransport
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.forwarding.messages import (
-    QuotaAsk,
-    QuotaReply,
     RelayAsk,
 )
 from snipesaddle._internal.tables.forwarding.store_ranges import Range
@@ -197,6 +195,6 @@
         sent = self._ports.peers.send(command.peer_address, message)
         if not sent and isinstance(message, RelayAsk):
             self._world.inbox.put(events.RelayUnsent(message.relay_id))
-        if not sent and isinstance(message, QuotaAsk | QuotaReply):
-            unsent = events.QuotaMessageUnsent(command.peer_address, message)
+        if not sent and command.resend:
+            unsent = events.MessageUnsent(command.peer_address, message)
             self._world.inbox.put(unsent)
--- a/src/snipesaddle/_internal/systems/forwarding/handover.py
+++ b/src/snipesaddle/_internal/systems/forwarding/handover.py
@@ -129,6 +129,6 @@
     for node in world.fleet.unanswered_nodes:
         if node.answered_incarnation != node.record.incarnation:
             node.answered_incarnation = node.record.incarnation
-            others = membership_sync.records_not_in_store(world, now_ns)
+            others = membership_sync.records_for_started(world, node, now_ns)
             heartbeats.tell(world, node.record.peer_address, now_ns, others)
     world.fleet.unanswered_nodes.clear()
--- a/src/snipesaddle/_internal/systems/forwarding/heartbeats.py
+++ b/src/snipesaddle/_internal/systems/forwarding/heartbeats.py
@@ -60,7 +60,7 @@
     """Tells all nodes at once of this node and its phase."""
     heartbeat = NodeBeat(this_node_record(world, now_ns))
     for node in world.fleet.nodes.values():
-        world.emit(SendToNode(node.record.peer_address, heartbeat))
+        world.emit(SendToNode(node.record.peer_address, heartbeat, resend=True))
 
 
 def tell(
@@ -71,7 +71,7 @@
 ) -> None:
     """Tells one node at once of this one, and of other records."""
     heartbeat = NodeBeat(this_node_record(world, now_ns), others)
-    world.emit(SendToNode(peer_address, heartbeat))
+    world.emit(SendToNode(peer_address, heartbeat, resend=True))
 
 
 def _other_active_records(
--- a/src/snipesaddle/_internal/systems/forwarding/membership_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/membership_sync.py
@@ -76,14 +76,22 @@
     )
 
 
-def records_not_in_store(
-    world: ForwardWorld, now_ns: int
+def records_for_started(
+    world: ForwardWorld, started: PeerNode, now_ns: int
 ) -> tuple[NodeRecord, ...]:
-    """Returns the nodes that one that starts may not find in the store."""
+    """Returns the nodes that one that starts may not have found in the store.
+
+    Args:
+      world: the tables.
+      started: the node that starts.
+      now_ns: the time of the tick.
+    """
+    knows_fewer = started.record.fleet_size < world.fleet.size
     return tuple(
         node.record
         for node in world.fleet.nodes.values()
-        if not (node.registered and node.record.store_ok)
+        if node is not started
+        and (knows_fewer or not node.registered or not node.record.store_ok)
         and fleet_reach.is_heard(world, node, now_ns)
     )
 
--- a/src/snipesaddle/_internal/systems/forwarding/quota_buckets.py
+++ b/src/snipesaddle/_internal/systems/forwarding/quota_buckets.py
@@ -74,10 +74,8 @@
         for name in [n for n in rows if limited_tenant(world, n) is None]:
             del rows[name]
     addresses = set(found.addresses.values())
-    for address, peer in list(quotas.owner_peers.items()):
-        is_old = now_ns - peer.resent_ns > window_ns
-        if address not in addresses and is_old:
-            del quotas.owner_peers[address]
+    for address in [a for a in quotas.owner_peers if a not in addresses]:
+        del quotas.owner_peers[address]
 
 
 def take_owned_or_wait_ns(
--- a/src/snipesaddle/_internal/systems/forwarding/quota_questions.py
+++ b/src/snipesaddle/_internal/systems/forwarding/quota_questions.py
@@ -103,7 +103,7 @@
             wait_ns / NS_PER_MS,
             is_partial=not quota_decisions.grants_whole_limit(world, now_ns),
         )
-    world.emit(SendToNode(asked.reply_address, reply))
+    world.emit(SendToNode(asked.reply_address, reply, resend=True))
 
 
 class QuestionHandler:
@@ -276,7 +276,7 @@
     message = QuotaAsk(
         question.ask_id, world.this_node.peer_address, question.tenant
     )
-    world.emit(SendToNode(question.peer_address, message))
+    world.emit(SendToNode(question.peer_address, message, resend=True))
     due_ns = now_ns + _REPLY_TIMEOUT_NS
     world.timers.set(TimerKind.QUOTA_REPLY, question.ask_id, due_ns)
 
--- a/src/snipesaddle/_internal/systems/forwarding/quotas.py
+++ b/src/snipesaddle/_internal/systems/forwarding/quotas.py
@@ -20,8 +20,6 @@
 )
 from snipesaddle._internal.systems.forwarding.refusals import Refusal
 from snipesaddle._internal.systems.tick import NS_PER_MS, TickSystem
-from snipesaddle._internal.tables.forwarding.commands import SendToNode
-from snipesaddle._internal.tables.forwarding.events import QuotaMessageUnsent
 from snipesaddle._internal.tables.forwarding.messages import (
     QuotaAsk,
     QuotaReply,
@@ -33,12 +31,7 @@
 from snipesaddle._internal.tables.timers import TimerKind
 
 _REVIEW = "review"
-_RESEND = "resend"
 _REVIEW_INTERVAL_NS = 250 * NS_PER_MS
-# A first message opens the connection to its node; by now it is there.
-_RESEND_DELAY_NS = 4 * NS_PER_MS
-# A message that cannot be sent twice within this time is dropped.
-_MIN_RESEND_GAP_NS = 50 * NS_PER_MS
 
 
 class QuotaCheck(ArrivalCheck):
@@ -89,7 +82,6 @@
         due = world.timers.pop_due(TimerKind.QUOTA_REPLY, now_ns)
         ask_ids = [key for key in due if isinstance(key, int)]
         run_each(world, ask_ids, self._questions.on_timer, now_ns)
-        self._resend(world, now_ns)
 
     def _review_if_due(self, world: ForwardWorld, now_ns: int) -> None:
         config = world.active_config.config
@@ -111,21 +103,6 @@
         if tenant is not None:
             quota_buckets.return_owned(world, tenant, now_ns)
 
-    def _resend(self, world: ForwardWorld, now_ns: int) -> None:
-        quotas = world.quotas
-        if world.timers.pop_due(TimerKind.QUOTA_RESEND, now_ns):
-            unsent, quotas.unsent = quotas.unsent, []
-            for peer_address, message in unsent:
-                quotas.owner_peer(peer_address).resent_ns = now_ns
-                world.emit(SendToNode(peer_address, message))
-        for event in world.inbox.take(QuotaMessageUnsent):
-            peer = quotas.owner_peer(event.peer_address)
-            if now_ns - peer.resent_ns < _MIN_RESEND_GAP_NS:
-                continue
-            quotas.unsent.append((event.peer_address, event.message))
-            due_ns = now_ns + _RESEND_DELAY_NS
-            world.timers.set(TimerKind.QUOTA_RESEND, _RESEND, due_ns)
-
 
 def _decide_as_owner(
     world: ForwardWorld,
--- a/src/snipesaddle/_internal/systems/forwarding/schedule.py
+++ b/src/snipesaddle/_internal/systems/forwarding/schedule.py
@@ -51,6 +51,7 @@
 from snipesaddle._internal.systems.forwarding.relay_replies import (
     RelayRepliesSystem,
 )
+from snipesaddle._internal.systems.forwarding.resends import ResendsSystem
 from snipesaddle._internal.systems.forwarding.store_sync import StoreSyncSystem
 from snipesaddle._internal.systems.forwarding.work_chooser import WorkChooser
 from snipesaddle._internal.systems.tick import TickSchedule, TickSystem
@@ -108,6 +109,7 @@
             LifecycleSystem(),
             PresenceSystem(),
             DirectorySystem(),
+            ResendsSystem(),
         )
         super().__init__(systems, _MAX_PASSES)
 
--- a/src/snipesaddle/_internal/tables/forwarding/commands.py
+++ b/src/snipesaddle/_internal/tables/forwarding/commands.py
@@ -208,11 +208,13 @@
     Attributes:
       decided_ns: when the message was made, if it says how much time is left;
         else 0.
+      resend: it is sent again if the node was not connected.
     """
 
     peer_address: str
     message: FleetMessage
     decided_ns: int = 0
+    resend: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/snipesaddle/_internal/tables/forwarding/events.py
+++ b/src/snipesaddle/_internal/tables/forwarding/events.py
@@ -2,10 +2,7 @@
 
 from dataclasses import dataclass
 
-from snipesaddle._internal.tables.forwarding.messages import (
-    QuotaAsk,
-    QuotaReply,
-)
+from snipesaddle._internal.tables.forwarding.messages import FleetMessage
 from snipesaddle._internal.tables.forwarding.requests import (
     ArrivedRequest,
     EndpointAnswer,
@@ -171,11 +168,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class QuotaMessageUnsent:
-    """A question or a reply was not sent, because its node is not connected."""
+class MessageUnsent:
+    """A message was not sent, because its node is not connected."""
 
     peer_address: str
-    message: QuotaAsk | QuotaReply
+    message: FleetMessage
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/snipesaddle/_internal/tables/forwarding/quotas.py
+++ b/src/snipesaddle/_internal/tables/forwarding/quotas.py
@@ -3,11 +3,6 @@
 import enum
 from dataclasses import dataclass, field
 
-from snipesaddle._internal.tables.forwarding.messages import (
-    QuotaAsk,
-    QuotaReply,
-)
-
 _NS_PER_S = 1_000_000_000
 
 
@@ -144,12 +139,10 @@
     Attributes:
       is_silent: its last reply is overdue.
       no_questions_until_ns: until when it gets no questions, as it is silent.
-      resent_ns: when a message that could not be sent was last sent again.
     """
 
     is_silent: bool = False
     no_questions_until_ns: int = 0
-    resent_ns: int = 0
 
 
 @dataclass(slots=True)
@@ -195,7 +188,6 @@
       refusals: tenants that were over their quotas lately.
       questions: those without a reply, by their id.
       owner_peers: the nodes that have been asked, by peer address.
-      unsent: messages to be sent again, with the address of their target.
       reviewed_ns: when the ownership was last reviewed.
       reviewed_version: the configuration that it was reviewed for.
       reviewed_ids: the candidates that it was reviewed for.
@@ -208,9 +200,6 @@
     refusals: dict[str, Refusals] = field(default_factory=dict)
     questions: dict[int, Question] = field(default_factory=dict)
     owner_peers: dict[str, OwnerPeer] = field(default_factory=dict)
-    unsent: list[tuple[str, QuotaAsk | QuotaReply]] = field(
-        default_factory=list
-    )
     candidates: OwnerCandidates = field(default_factory=OwnerCandidates)
     reviewed_ns: int = 0
     reviewed_version: int = 0
--- a/src/snipesaddle/_internal/tables/forwarding/world.py
+++ b/src/snipesaddle/_internal/tables/forwarding/world.py
@@ -38,6 +38,7 @@
     RelayOrigin,
     Request,
 )
+from snipesaddle._internal.tables.forwarding.resends import Resends
 from snipesaddle._internal.tables.forwarding.routes import (
     ActiveConfig,
     RouteConfig,
@@ -193,6 +194,7 @@
     request_id_by_client: dict[int, int] = field(default_factory=dict)
     attempts: dict[int, Attempt] = field(default_factory=dict)
     relays: dict[int, Relay] = field(default_factory=dict)
+    resends: Resends = field(default_factory=Resends)
     request_id_by_origin: dict[RelayOrigin, int] = field(default_factory=dict)
     answered_attempts: list[AnsweredAttempt] = field(default_factory=list)
     lost_attempts: list[LostAttempt] = field(default_factory=list)
--- a/src/snipesaddle/_internal/tables/timers.py
+++ b/src/snipesaddle/_internal/tables/timers.py
@@ -42,7 +42,7 @@
     ATTEMPT = enum.auto()
     QUOTA_REVIEW = enum.auto()
     QUOTA_REPLY = enum.auto()
-    QUOTA_RESEND = enum.auto()
+    NODE_RESEND = enum.auto()
 
 
 class Timers:
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -73,6 +73,8 @@
       max_hold_ms: the longest time for which messages between nodes are held.
       apart: nodes that reach each other, but no other ones.
       cut_links: pairs of nodes that do not reach each other.
+      connect_nodes_ms: how long a connection between two nodes takes to open,
+        which its first message does; 0 if all are open.
       rate_limits: the requests a second that endpoints name as their limit, by
         endpoint id.
     """
@@ -89,6 +91,7 @@
     max_hold_ms: float = 0.0
     apart: frozenset[str] = frozenset()
     cut_links: frozenset[frozenset[str]] = frozenset()
+    connect_nodes_ms: float = 0.0
     rate_limits: dict[str, float] = field(default_factory=dict)
 
     def separates(self, name: str, other: str) -> bool:
@@ -123,6 +126,7 @@
     is_ready: bool = False
     frozen_until_ns: int = 0
     open_connections: dict[int, str] = field(default_factory=dict)
+    node_links_open_ns: dict[int, int] = field(default_factory=dict)
 
 
 class SimulatedFleet:
@@ -429,10 +433,8 @@
     def _send_to_node(self, run: Running, command: commands.SendToNode) -> None:
         target = self.running.get(command.peer_address.removesuffix(":2"))
         message = command.message
-        if target is None or self.faults.separates(run.name, target.name):
-            if isinstance(message, RelayAsk):
-                unsent = events.RelayUnsent(message.relay_id)
-                self._later(run, 0.0, unsent)
+        if target is None or not self._is_connected(run, target):
+            self._report_unsent(run, command)
         elif self._rng.random() >= self.faults.message_loss_ratio:
             if isinstance(message, ConfigShare):
                 config = self._configs[message.version]
@@ -442,6 +444,25 @@
                 hold_ms = self._rng.uniform(0.0, hold_ms)
             self._later(target, _LINK_MS + hold_ms, message)
 
+    def _is_connected(self, run: Running, target: Running) -> bool:
+        """Returns whether a run has a connection to another; opens one."""
+        if self.faults.separates(run.name, target.name):
+            return False
+        number = target.world.this_node.run_number
+        open_ns = self.now_ns + int(self.faults.connect_nodes_ms * NS_PER_MS)
+        opened_ns = run.node_links_open_ns.setdefault(number, open_ns)
+        return self.now_ns >= opened_ns
+
+    def _report_unsent(
+        self, run: Running, command: commands.SendToNode
+    ) -> None:
+        message = command.message
+        if isinstance(message, RelayAsk):
+            self._later(run, 0.0, events.RelayUnsent(message.relay_id))
+        elif command.resend:
+            unsent = events.MessageUnsent(command.peer_address, message)
+            self._later(run, 0.0, unsent)
+
     def _open(self, run: Running, command: commands.OpenConnection) -> None:
         endpoint_id = self._entry_by_address[command.address].endpoint_id
         run.open_connections[command.connection_id] = endpoint_id
--- a/tests/unit/forwarding/test_membership_sync.py
+++ b/tests/unit/forwarding/test_membership_sync.py
@@ -78,6 +78,23 @@
     assert worst_overrun(fleet) <= 0
 
 
+# The first message to a node, lost as it opens the connection, was the one that
+# tells of a node that starts; so its answers came with the next heartbeats, and
+# it took its share without them.
+def test_what_a_node_tells_at_its_start_reaches_nodes_not_connected_yet() -> (
+    None
+):
+    fleet = quota_fleet(3)
+    fleet.faults.connect_nodes_ms = 2.0
+    fleet.store.expire("e1")
+    fleet.start("e5")
+    fleet.advance(60)
+    assert fleet.running["e5"].world.fleet.has_shares
+    for name in NODES:
+        assert "e5" in known_ids(fleet, name)
+        assert name in known_ids(fleet, "e5")
+
+
 # No node that knows both is asked at the start, as the answers are lost.
 def test_nodes_learn_of_each_other_when_the_first_messages_are_lost() -> None:
     fleet = quota_fleet(2)
--- a/tests/unit/forwarding/test_quotas.py
+++ b/tests/unit/forwarding/test_quotas.py
@@ -365,7 +365,7 @@
 def test_a_question_that_could_not_be_sent_is_sent_again_once() -> None:
     ticks = asking_node()
     ask(ticks)
-    unsent = events.QuotaMessageUnsent("e2:2", question(ticks))
+    unsent = events.MessageUnsent("e2:2", question(ticks))
     ticks.tick(unsent)
     ticks.advance(5, step_ms=1)
     assert question(ticks) == unsent.message
