Expect no heartbeats of other zones at an idle node

Found on reading the exchange of records again. Active nodes send their heartbeats to idle nodes of other zones by way of others. An idle node named all of them in each heartbeat as missing, was sent their records without end, and relayed nothing to their zones; a node that has just become active did the same until the first heartbeats came.

Change: heartbeats are expected of a node of another zone only by an active node, from when it became active.

Test: test_an_idle_node_misses... failed before (all six active nodes of the other zones named).

--- a/src/snipesaddle/_internal/systems/forwarding/membership_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/membership_sync.py
@@ -44,7 +44,7 @@
         return False
     if not activity.is_live(world, node, now_ns) and not node.registered:
         return False
-    expected_ns = activity.heartbeats_expected_ns(world, node)
+    expected_ns = _expected_directly_ns(world, node)
     if expected_ns is None:
         return False
     max_age_ns = activity.heartbeat_interval_ns(world) * _UNHEARD_AFTER_BEATS
@@ -52,6 +52,20 @@
     return now_ns - since_ns > max_age_ns
 
 
+def _expected_directly_ns(world: ForwardWorld, node: PeerNode) -> int | None:
+    """Returns since when a node should send heartbeats to this very node.
+
+    None if it sends none: those of active nodes are passed on to the idle nodes
+    of other zones.
+    """
+    expected_ns = activity.heartbeats_expected_ns(world, node)
+    if not expected_ns or node.record.zone == world.this_node.zone:
+        return expected_ns
+    if not activity.is_active(world):
+        return None
+    return max(expected_ns, world.fleet.active_since_ns)
+
+
 def missing_records(
     world: ForwardWorld, node: PeerNode, beat: NodeBeat, now_ns: int
 ) -> tuple[NodeRecord, ...]:
--- a/tests/unit/forwarding/test_membership_sync.py
+++ b/tests/unit/forwarding/test_membership_sync.py
@@ -8,11 +8,24 @@
 import os
 import random
 
+import msgspec
 import pytest
-from standins.forwarding import pass_route
+from standins.forwarding import (
+    ForwardTicks,
+    entry,
+    merge_route,
+    pass_route,
+)
 from standins.quota_rule import quota_overrun
-from standins.simulated_fleet import Faults, SimulatedFleet, started_fleet
+from standins.simulated_fleet import (
+    NS_PER_S,
+    Faults,
+    SimulatedFleet,
+    started_fleet,
+)
 
+from snipesaddle._internal.systems.forwarding import activity, membership_sync
+from snipesaddle._internal.tables.forwarding.messages import NodeBeat
 from snipesaddle._internal.tables.forwarding.tenants import Tenant, TenantIndex
 
 # More seeds by hand: FLEET_SEEDS=50.
@@ -173,3 +186,45 @@
         steps.append(disturb(fleet, rng))
         load(fleet, rng.uniform(200, 4_000), rng)
     assert worst_overrun(fleet) <= 0, steps
+
+
+def large_fleet(prefix: str) -> ForwardTicks:
+    """Returns node e1 of zone a; only nodes of its zone send it heartbeats."""
+    ticks = ForwardTicks([merge_route(1)], [entry("s0", "s0")])
+    names = {f"{prefix}{number}": "abc"[number % 3] for number in range(30)}
+    for name, zone in names.items():
+        ticks.beat(name, zone=zone)
+    ticks.advance(1_000, 100)
+    for _ in range(6):
+        active = [
+            msgspec.structs.replace(node.record, sequence=int(ticks.now_ms))
+            for node in ticks.world.fleet.nodes.values()
+            if node.record.node_id in ticks.world.fleet.active_node_ids
+        ]
+        others = tuple(r for r in active if r.zone != "a")
+        for record in active:
+            if record.zone == "a":
+                ticks.tick(NodeBeat(record, others))
+        ticks.advance(1_000, 100)
+    return ticks
+
+
+# Active nodes of other zones send idle nodes no heartbeats, so that these would
+# miss them without end and relay nothing to their zones.
+def test_an_idle_node_misses_no_heartbeats_of_other_zones() -> None:
+    ticks = large_fleet("n")
+    fleet = ticks.world.fleet
+    assert not activity.is_active(ticks.world)
+    assert {
+        fleet.nodes[name].record.zone for name in fleet.active_node_ids
+    } == {*"abc"}
+    unheard = membership_sync.unheard_ids(ticks.world, ticks.now_ns)
+    assert not fleet.active_node_ids.intersection(unheard)
+    # One that becomes active gets their heartbeats from now on.
+    fleet.active_node_ids |= {"e1"}
+    fleet.active_since_ns = ticks.now_ns
+    unheard = membership_sync.unheard_ids(ticks.world, ticks.now_ns)
+    assert not fleet.active_node_ids.intersection(unheard)
+    later_ns = ticks.now_ns + 2 * NS_PER_S
+    unheard = membership_sync.unheard_ids(ticks.world, later_ns)
+    assert fleet.active_node_ids.intersection(unheard)
