Send a node that starts the records of a large fleet once

A node that starts and knows fewer nodes than the one that answers was sent all records by each node that it announced itself to: where a large fleet starts at once, records grow with the cube of its size.

Change: in a fleet that is not small, only the active node that rendezvous hashing chooses sends them, as with endpoint lists. Nodes that the store may not name are still told by all.

--- a/src/snipesaddle/_internal/systems/forwarding/membership_sync.py
+++ b/src/snipesaddle/_internal/systems/forwarding/membership_sync.py
@@ -9,7 +9,11 @@
 and choose the same owner of a quota.
 """
 
-from snipesaddle._internal.systems.forwarding import activity, fleet_reach
+from snipesaddle._internal.systems.forwarding import (
+    activity,
+    fleet_reach,
+    peer_sync,
+)
 from snipesaddle._internal.tables.forwarding.fleet import (
     NodePhase,
     NodeRecord,
@@ -95,17 +99,25 @@
 ) -> tuple[NodeRecord, ...]:
     """Returns the nodes that one that starts may not have found in the store.
 
+    One that knows fewer nodes than this one is sent all of them; in a large
+    fleet, where many may start at once, by one node only.
+
     Args:
       world: the tables.
       started: the node that starts.
       now_ns: the time of the tick.
     """
     knows_fewer = started.record.fleet_size < world.fleet.size
+    is_small = len(world.fleet.nodes) < world.settings.fleet.small
+    is_source = activity.is_active(world) and peer_sync.is_sync_source(
+        world, started.record
+    )
+    sends_all = knows_fewer and (is_small or is_source)
     return tuple(
         node.record
         for node in world.fleet.nodes.values()
         if node is not started
-        and (knows_fewer or not node.registered or not node.record.store_ok)
+        and (sends_all or not node.registered or not node.record.store_ok)
         and fleet_reach.is_heard(world, node, now_ns)
     )
 
--- a/tests/unit/forwarding/test_membership_sync.py
+++ b/tests/unit/forwarding/test_membership_sync.py
@@ -25,6 +25,7 @@
 )
 
 from snipesaddle._internal.systems.forwarding import activity, membership_sync
+from snipesaddle._internal.tables.forwarding.fleet import PeerNode
 from snipesaddle._internal.tables.forwarding.messages import NodeBeat
 from snipesaddle._internal.tables.forwarding.tenants import Tenant, TenantIndex
 
@@ -228,3 +229,25 @@
     later_ns = ticks.now_ns + 2 * NS_PER_S
     unheard = membership_sync.unheard_ids(ticks.world, later_ns)
     assert fleet.active_node_ids.intersection(unheard)
+
+
+# In a large fleet that starts at once, every node sent the records of all to
+# each of the others.
+def test_one_node_of_a_large_fleet_sends_all_records_to_one_that_starts() -> (
+    None
+):
+    zones = {f"e{number}": "abc"[number % 3] for number in range(1, 22)}
+    *names, last = zones
+    fleet = started_fleet(pass_route(), zones, names, CONNECTIONS, 1)
+    known = fleet.running[names[0]].world.fleet.nodes[names[1]].record
+    started = PeerNode(
+        msgspec.structs.replace(
+            known, node_id=last, zone=zones[last], fleet_size=5
+        )
+    )
+    senders = [
+        run.name
+        for run in fleet.running.values()
+        if membership_sync.records_for_started(run.world, started, fleet.now_ns)
+    ]
+    assert len(senders) == 1
