Give each process of tests its own region of ports

Cause: a fleet of tests picked a row of ports that were free at that moment, and bound them later. Two processes could pick the same ones, and the status request of one reached a leaf of the other: nodes send no request without an id, and the status of a node is never empty. The logs of the nodes were still empty then.

No check is changed.

--- a/tests/functional/test_client_limits.py
+++ b/tests/functional/test_client_limits.py
@@ -18,7 +18,7 @@
     CapacitySettings,
     ClientSettings,
 )
-from tests.standins.fleet import free_ports
+from tests.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/functional/test_endless_responses.py
+++ b/tests/functional/test_endless_responses.py
@@ -27,8 +27,8 @@
 from snipesaddle._internal.tables.forwarding import commands, events
 from snipesaddle._internal.tables.inbox import Inbox
 from snipesaddle.platform.endpoints import PlatformEndpointTransport
-from tests.standins.fleet import free_ports
 from tests.standins.forward_site import Site, config, three_leafs
+from tests.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/functional/test_head.py
+++ b/tests/functional/test_head.py
@@ -18,7 +18,7 @@
 from snipesaddle._internal.tables.forwarding.requests import EndpointAnswer
 from snipesaddle._internal.tables.inbox import Inbox
 from snipesaddle.platform.frontend import PlatformFrontend
-from tests.standins.fleet import free_ports
+from tests.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/functional/test_http1.py
+++ b/tests/functional/test_http1.py
@@ -29,7 +29,7 @@
 )
 from snipesaddle._internal.adapters.zmq_peer import ZmqPeerTransport
 from snipesaddle._internal.models.forwarding import ResponseSettings
-from tests.standins.fleet import free_ports
+from tests.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -9,7 +9,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from tests.standins.fleet import free_ports
+from tests.standins.ports import free_ports
 
 _WRITE_BYTES = 50_000
 _ROOT = Path(__file__).resolve().parent.parent.parent
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -1,9 +1,7 @@
 """A whole system as real processes: platform, leaves, proxy, entry nodes."""
 
 import json
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,28 +18,10 @@
 from tests.standins import layouts
 from tests.standins.callers import LoadFile, Stream, StreamResult
 from tests.standins.layouts import Group, Placement
+from tests.standins.ports import free_ports
 
 _READY_S = 20.0
 _POLL_S = 0.02
-_PORT_RANGE = (10_000, 30_000)
-
-
-def free_ports(count: int) -> int:
-    """Returns the first of `count` ports in a row that are free now."""
-    picker = random.Random()
-    while True:
-        first = picker.randrange(_PORT_RANGE[0], _PORT_RANGE[1] - count)
-        if all(_is_free(port) for port in range(first, first + count)):
-            return first
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
 
 
 @dataclass
--- a/tests/standins/forward_site.py
+++ b/tests/standins/forward_site.py
@@ -11,7 +11,7 @@
 import httpx
 import yaml
 
-from tests.standins.fleet import free_ports
+from tests.standins.ports import free_ports
 from tests.standins.users_platform import (
     LeafStandIn,
     StoreStandIn,
