Grant no quota where other nodes may serve unknown

Found by trying the exchange of records without a node to exchange them. Of two nodes, one is turned away by the store until its record has ended, the other one ends, and two others start: nobody knows both sides. The one that was left heard half of the fleet that it knew and granted half of a limit, the others all of it.

Change: a node that does not reach the store, whose lease may have ended (the time of the last call that renewed it, and its length) and that hears no node which reaches the store grants nothing but its own shares. A line in the log tells when the part of a limit that a node grants changes.

Cost to callers: in an outage for all nodes that lasts longer than the records (9 s), tenants get no more than the own shares of the nodes after that.

--- a/src/snipesaddle/_internal/systems/forwarding/fleet_reach.py
+++ b/src/snipesaddle/_internal/systems/forwarding/fleet_reach.py
@@ -41,6 +41,20 @@
     )
 
 
+def may_miss_nodes(world: ForwardWorld, now_ns: int) -> bool:
+    """Returns whether nodes may serve that this one cannot learn of.
+
+    Those that start do not find it in the store once its record has ended, and
+    it finds them only in the store, or is told by a node that reads it.
+    """
+    if world.store.is_ok or now_ns < world.presence.kept_until_ns:
+        return False
+    return not any(
+        node.record.store_ok and is_heard(world, node, now_ns)
+        for node in world.fleet.nodes.values()
+    )
+
+
 def heard_ratio(world: ForwardWorld, keep_ns: int, now_ns: int) -> float:
     """Returns the part of the fleet that this node hears, 0 if unknown.
 
@@ -49,7 +63,7 @@
       keep_ns: how long a node without a record in the store still counts.
       now_ns: the time of the tick.
     """
-    if not world.fleet.recent_max_size:
+    if not world.fleet.recent_max_size or may_miss_nodes(world, now_ns):
         return 0.0
     max_age_ns = _max_age_ns(world)
     zones = {world.this_node.zone: _ZoneCount(size=1, heard=1)}
--- a/src/snipesaddle/_internal/systems/forwarding/presence.py
+++ b/src/snipesaddle/_internal/systems/forwarding/presence.py
@@ -89,6 +89,7 @@
                 self._schedule(world, now_ns)
                 continue
             presence.lease_id = written.lease_id
+            presence.kept_until_ns = presence.call_started_ns + _ttl_ns(world)
             presence.writes = False
             # A watch of the nodes delivers the record that was just written.
             if not world.fleet.own_record_seen:
@@ -112,6 +113,7 @@
         if presence.lease_id:
             presence.call_outdated = presence.call_in_flight
             presence.lease_id = 0
+            presence.kept_until_ns = 0
             world.log("lease_lost", detail="the store was restored")
             self._schedule(world, now_ns)
         presence.stale = True
@@ -126,6 +128,7 @@
         presence.writes = False
         if event.lease_lost:
             presence.lease_id = 0
+            presence.kept_until_ns = 0
             presence.stale = True
             world.log("lease_lost", detail=event.detail)
         delay_ns = _RETRY_DELAY_NS
@@ -148,6 +151,7 @@
             return
         presence.call_in_flight = True
         presence.call_outdated = False
+        presence.call_started_ns = now_ns
         world.counters.store_calls += 1
         if presence.stale or not presence.lease_id:
             presence.stale = False
@@ -170,7 +174,11 @@
     renewals = _RENEWALS_PER_TTL
     if _is_idle_in_large_fleet(world) and world.store.is_ok:
         renewals = _IDLE_RENEWALS_PER_TTL
-    return world.settings.store.presence_ttl_ms * NS_PER_MS // renewals
+    return _ttl_ns(world) // renewals
+
+
+def _ttl_ns(world: ForwardWorld) -> int:
+    return world.settings.store.presence_ttl_ms * NS_PER_MS
 
 
 def _is_idle_in_large_fleet(world: ForwardWorld) -> bool:
--- a/src/snipesaddle/_internal/systems/forwarding/quota_owners.py
+++ b/src/snipesaddle/_internal/systems/forwarding/quota_owners.py
@@ -39,6 +39,13 @@
     window_ns = quota_limits.rule(world).window_ns
     heard = fleet_reach.heard_ratio(world, window_ns, now_ns)
     ratio = min(1.0, max(0.0, _RATIO_SLOPE * heard - _RATIO_OFFSET))
+    if ratio != known.rate_ratio:
+        world.log(
+            "quota_rate_ratio",
+            rate_ratio=round(ratio, 3),
+            heard_ratio=round(heard, 3),
+            may_miss_nodes=fleet_reach.may_miss_nodes(world, now_ns),
+        )
     found = OwnerCandidates(addresses, ratio, active, now_ns)
     world.quotas.candidates = found
     return found
--- a/src/snipesaddle/_internal/tables/forwarding/fleet.py
+++ b/src/snipesaddle/_internal/tables/forwarding/fleet.py
@@ -168,6 +168,9 @@
       ended: the record has to be removed, as the process ends.
       era: the era of the store to which the lease belongs.
       call_outdated: the call in flight uses a lease of an earlier era.
+      call_started_ns: when the call in flight was sent.
+      kept_until_ns: until when the lease of the record lasts at least; 0
+        without a lease.
     """
 
     lease_id: int = 0
@@ -177,6 +180,8 @@
     ended: bool = False
     era: int = 0
     call_outdated: bool = False
+    call_started_ns: int = 0
+    kept_until_ns: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/unit/forwarding/test_membership_sync.py
+++ b/tests/unit/forwarding/test_membership_sync.py
@@ -7,6 +7,7 @@
 import itertools
 import os
 import random
+from collections.abc import Iterable
 
 import msgspec
 import pytest
@@ -43,10 +44,10 @@
 LAPSE_MS = 6_300
 
 
-def quota_fleet(seed: int) -> SimulatedFleet:
+def quota_fleet(seed: int, nodes: Iterable[str] = NODES) -> SimulatedFleet:
     index = TenantIndex((t, [t.name.encode()]) for t in TENANTS)
     route = pass_route(timeout_ms=2_000)
-    return started_fleet(route, ZONES, NODES, CONNECTIONS, seed, index)
+    return started_fleet(route, ZONES, nodes, CONNECTIONS, seed, index)
 
 
 def load(fleet: SimulatedFleet, ms: float, rng: random.Random) -> None:
@@ -251,3 +252,41 @@
         if membership_sync.records_for_started(run.world, started, fleet.now_ns)
     ]
     assert len(senders) == 1
+
+
+# Nobody is left who knows both the node that the store turns away and those
+# that started meanwhile. It heard half of its fleet of two, and granted half of
+# a limit, while the others granted all.
+@pytest.mark.parametrize("turned_away", ["e1", "e2"])
+def test_a_node_that_can_learn_of_no_other_grants_no_quota(
+    turned_away: str,
+) -> None:
+    nodes = ("e1", "e2")
+    fleet = quota_fleet(1, nodes)
+    rng = random.Random(1)
+    fleet.faults.without_store = frozenset({turned_away})
+    load(fleet, 9_000, rng)
+    for name in nodes:
+        fleet.store.expire(name)
+        if name != turned_away:
+            fleet.kill(name)
+    for name in ADDED:
+        fleet.start(name)
+    load(fleet, 8_000, rng)
+    fleet.faults = Faults()
+    load(fleet, 4_000, rng)
+    assert worst_overrun(fleet) <= 0
+
+
+# As long as the records of the nodes stand, none can have started unknown.
+def test_an_outage_of_the_store_leaves_the_quotas_usable() -> None:
+    fleet = quota_fleet(2)
+    rng = random.Random(2)
+    fleet.faults.store_is_down = True
+    load(fleet, 1_000, rng)
+    start_ns = fleet.now_ns
+    load(fleet, 4_500, rng)
+    for tenant in TENANTS:
+        ran_ns = fleet.ran[tenant.name].values()
+        used_per_s = sum(at_ns >= start_ns for at_ns in ran_ns) / 4.5
+        assert used_per_s >= 0.9 * tenant.rate_per_s
