--- a/tests/soak.py
+++ b/tests/soak.py
@@ -142,6 +142,13 @@
         self.routes: dict[str, Route] = {}
 
     async def run(self) -> None:
+        try:
+            await self._run()
+        finally:
+            # No node is left behind, whatever ends the run.
+            await self.site.stop()
+
+    async def _run(self) -> None:
         async with anyio.create_task_group() as group:
             await self._start(group)
             async with anyio.create_task_group() as work:
@@ -153,7 +160,6 @@
             await self._settle()
             self._check()
             group.cancel_scope.cancel()
-        await self.site.stop()
 
     def _draw(self) -> float:
         return self.rng.random()
