Report a connection that is lost as it opens as such

The process of the callers had ended with "AttributeError: 'NoneType' object has no attribute 'getpeername'" while it connected to a node that the test kills.

Cause: a transport that has lost its connection has no socket any more, and the descriptor of the new stream was asked for without regard to that. In our own daemon the same error would have passed for an unexpected one, in place of a call that was not sent.

Change: such a connection could not be opened.

--- a/src/snipesaddle/_internal/adapters/tcp_stream.py
+++ b/src/snipesaddle/_internal/adapters/tcp_stream.py
@@ -27,13 +27,12 @@
     loop busy, so streams whose pieces are expensive to parse read in turn.
     """
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: SocketStream, descriptor: int) -> None:
         self._stream = stream
-        raw_socket = stream.extra(SocketAttribute.raw_socket)
         self._piece_bytes = _MIN_PIECE_BYTES
         self._last_read_s = 0.0
         self._poll = select.poll()
-        self._poll.register(raw_socket.fileno(), select.POLLIN)
+        self._poll.register(descriptor, select.POLLIN)
 
     @classmethod
     async def connect(cls, host: str, port: int) -> "TcpStream":
@@ -43,7 +42,8 @@
           httpcore.ConnectError: the connection could not be opened.
         """
         try:
-            return cls(await anyio.connect_tcp(host, port))
+            stream = await anyio.connect_tcp(host, port)
+            return cls(stream, _descriptor(stream))
         except OSError as error:
             raise httpcore.ConnectError(str(error)) from error
 
@@ -105,3 +105,20 @@
         if info == "is_readable":
             return bool(self._poll.poll(0))
         return None
+
+
+def _descriptor(stream: SocketStream) -> int:
+    """Returns the descriptor of a connection.
+
+    Raises:
+      ConnectionResetError: the connection has ended already.
+    """
+    try:
+        raw_socket = stream.extra(SocketAttribute.raw_socket)
+    except AttributeError as error:
+        # The transport of a connection that has ended has no socket.
+        raise ConnectionResetError("lost at once") from error
+    descriptor = raw_socket.fileno()
+    if descriptor < 0:
+        raise ConnectionResetError("lost at once")
+    return descriptor
